Look for the leader of an idle group again, and give no work to a drained primary

The daemon that had carried the handover out itself sent a current read to the old primary 8.4 s after that had said that it leaves.

Changed: a leader of an idle group that drains, is unlisted or of an old term is forgotten at the next use. Besides, a leader known to drain for drain_ms less 2 s, or found draining at the start, gets no new work, whatever holds its successor back; drain_ms is read from the settings.

--- a/internal/backend/confirm.go
+++ b/internal/backend/confirm.go
@@ -63,7 +63,7 @@
 }
 
 func (g *Group) confirm(l *LeaderView) Confirmation {
-	if g.permits.Check(g.Name, l.Term) == permit.Allowed {
+	if g.Permits.Check(g.Name, l.Term) == permit.Allowed {
 		return Confirmed
 	}
 	if !g.settled() {
--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -8,10 +8,8 @@
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
-	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/leadership"
-	"github.com/laburnumrack/laburnumrack/internal/permit"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 )
 
@@ -60,14 +58,11 @@
 
 // Group is one database group as a daemon sees it.
 type Group struct {
+	Surroundings
+
 	Name  string
 	Facts freshness.Record
-	Place Place
 
-	dialer   Dialer
-	promoter Promoter
-	permits  *permit.Permits
-	log      *eventlog.Log
 	// settled reports whether the list of targets counts as whole. While it does not,
 	// nothing is concluded from all targets that are known.
 	settled func() bool
@@ -94,7 +89,7 @@
 
 func newGroup(name string, r *Registry) *Group {
 	g := &Group{
-		Name: name, Place: r.place, dialer: r.dialer, promoter: r.promoter, permits: r.permits, log: r.log, settled: r.settled,
+		Surroundings: r.Surroundings, Name: name, settled: r.settled,
 		kick: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	g.targets.Store(&[]*Target{})
@@ -149,14 +144,33 @@
 }
 
 // Use notes that a unit needs the group now. Groups that no unit has needed lately
-// are not asked for their leader.
+// are not asked for their leader: one that may have been replaced meanwhile is looked
+// for again.
 func (g *Group) Use() {
 	now := int64(boottime.Now())
 	if old := g.used.Swap(now); now-old > int64(inUseFor) {
+		if l := g.Leader(); l != nil && g.leaderOutdated(l) {
+			g.Depose(l)
+		}
 		g.Suspect()
 	}
 }
 
+// leaderOutdated reports whether a leader leaves, is gone, or may have been replaced.
+func (g *Group) leaderOutdated(l *LeaderView) bool {
+	return l.Term < g.KnownTerm() || !g.Lists(l.Target) || l.Target.Info().Draining
+}
+
+// Serving returns the leader that takes new work, and the one that is known. They
+// differ when the known one has drained for too long.
+func (g *Group) Serving() (serving, known *LeaderView) {
+	known = g.Leader()
+	if known == nil || known.Target.Drained(boottime.Now(), g.DrainTime) {
+		return nil, known
+	}
+	return known, known
+}
+
 // Demand asks this daemon to promote the group to a term, as another can't reach
 // the primary.
 func (g *Group) Demand(term position.Term) {
@@ -212,10 +226,10 @@
 	g.mu.Unlock()
 	g.applyLimits()
 	if l == nil {
-		g.log.Belief("leader_lost", "group", g.Name, "target", old.ID, "term", old.Term, "known_term", g.KnownTerm())
+		g.Log.Belief("leader_lost", "group", g.Name, "target", old.ID, "term", old.Term, "known_term", g.KnownTerm())
 		return
 	}
-	g.log.Belief("leader_found", "group", g.Name, "target", l.ID, "term", l.Term)
+	g.Log.Belief("leader_found", "group", g.Name, "target", l.ID, "term", l.Term)
 }
 
 // Depose forgets the leader l, which an answer showed to lead no more.
--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -66,7 +66,7 @@
 	case boottime.Now()-time.Duration(g.used.Load()) < inUseFor && g.used.Load() > 0:
 		return m.leaderDoubtful()
 	default:
-		return g.promoter.Holder() && g.listedPrimaryLeaves()
+		return g.Promoter.Holder() && g.listedPrimaryLeaves()
 	}
 }
 
@@ -75,7 +75,7 @@
 func (m *monitor) leaderDoubtful() bool {
 	g := m.group
 	l := g.Leader()
-	if l == nil || l.Term < g.KnownTerm() || !g.Lists(l.Target) || l.Target.Info().Draining {
+	if l == nil || g.leaderOutdated(l) {
 		return true
 	}
 	s := l.Target.State(boottime.Now())
@@ -142,8 +142,8 @@
 	since := boottime.Now() - m.since
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	if err := g.promoter.Promote(ctx, g, reason, since); err != nil {
-		g.log.Belief("promotion_failed", "group", g.Name, "reason", string(reason), "since_ms", since.Milliseconds(), "error", err.Error())
+	if err := g.Promoter.Promote(ctx, g, reason, since); err != nil {
+		g.Log.Belief("promotion_failed", "group", g.Name, "reason", string(reason), "since_ms", since.Milliseconds(), "error", err.Error())
 	}
 }
 
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -25,14 +25,22 @@
 // trimInterval is the time between looks for connections that are not needed.
 const trimInterval = 500 * time.Millisecond
 
+// Surroundings are what the groups of a daemon use and stand in.
+type Surroundings struct {
+	Place    Place
+	Dialer   Dialer
+	Promoter Promoter
+	Permits  *permit.Permits
+	// DrainTime is how long a target that drains may be given new work.
+	DrainTime time.Duration
+	Log       *eventlog.Log
+}
+
 // Registry holds the groups and targets of a daemon.
 type Registry struct {
-	place    Place
-	dialer   Dialer
-	promoter Promoter
-	permits  *permit.Permits
-	log      *eventlog.Log
-	groups   *xsync.Map[string, *Group]
+	Surroundings
+
+	groups *xsync.Map[string, *Group]
 	// settledAt is when the list that came last counts as whole, since boot; zero
 	// before the first.
 	settledAt atomic.Int64
@@ -49,11 +57,8 @@
 }
 
 // NewRegistry returns a registry without groups; its monitors end with ctx.
-func NewRegistry(ctx context.Context, place Place, dialer Dialer, promoter Promoter, permits *permit.Permits, log *eventlog.Log) *Registry {
-	return &Registry{
-		place: place, dialer: dialer, promoter: promoter, permits: permits, log: log, ctx: ctx,
-		groups: xsync.NewMap[string, *Group](), targets: make(map[string]*listed),
-	}
+func NewRegistry(ctx context.Context, around Surroundings) *Registry {
+	return &Registry{Surroundings: around, ctx: ctx, groups: xsync.NewMap[string, *Group](), targets: make(map[string]*listed)}
 }
 
 // Group returns a group, nil if none of that name is declared or listed.
@@ -129,7 +134,7 @@
 		known.unlistedAt = time.Time{}
 		known.target.SetInfo(info)
 		if old.Incarnation != info.Incarnation || old.Primary != info.Primary || old.Draining != info.Draining {
-			r.log.Belief("target_changed", "target", info.ID, "group", info.Group, "primary", info.Primary, "draining", info.Draining, "incarnation", info.Incarnation)
+			r.Log.Belief("target_changed", "target", info.ID, "group", info.Group, "primary", info.Primary, "draining", info.Draining, "incarnation", info.Incarnation)
 			r.group(info.Group).Suspect()
 		}
 		// A target that has started again holds and knows nothing of before.
@@ -138,9 +143,9 @@
 		}
 		r.drop(info.ID)
 	}
-	t := NewTarget(info, r.dialer)
+	t := NewTarget(info, r.Dialer)
 	r.targets[info.ID] = &listed{target: t}
-	r.log.Belief("target_listed", "target", info.ID, "group", info.Group, "address", info.Address, "domain", info.FailureDomain, "primary", info.Primary, "draining", info.Draining)
+	r.Log.Belief("target_listed", "target", info.ID, "group", info.Group, "address", info.Address, "domain", info.FailureDomain, "primary", info.Primary, "draining", info.Draining)
 	g := r.group(info.Group)
 	r.rebuild(g)
 	g.Suspect()
@@ -152,7 +157,7 @@
 		return
 	}
 	known.unlistedAt = time.Now()
-	r.log.Belief("target_unlisted", "target", id, "kept_ms", unlistedFor.Milliseconds())
+	r.Log.Belief("target_unlisted", "target", id, "kept_ms", unlistedFor.Milliseconds())
 }
 
 // drop forgets a target for good.
@@ -163,7 +168,7 @@
 	g := r.group(known.target.Info().Group)
 	r.rebuild(g)
 	g.Suspect()
-	r.log.Belief("target_dropped", "target", id, "group", g.Name)
+	r.Log.Belief("target_dropped", "target", id, "group", g.Name)
 }
 
 // rebuild publishes the targets of a group.
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/leadership"
@@ -38,7 +39,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	place := Place{FailureDomain: "north", Regions: map[string]string{"north": "home"}}
-	return NewRegistry(ctx, place, nowhere{}, nobody{}, permit.New(nobody{}), eventlog.New())
+	return NewRegistry(ctx, Surroundings{
+		Place: place, Dialer: nowhere{}, Promoter: nobody{}, Permits: permit.New(nobody{}), DrainTime: 7 * time.Second, Log: eventlog.New(),
+	})
 }
 
 func TestRegistry(t *testing.T) {
@@ -95,3 +98,59 @@
 		So(time.Since(began), ShouldBeLessThan, time.Second)
 	})
 }
+
+// A daemon that had not used a group since before a handover sent its next request to
+// the old primary, 8 s after that had said that it leaves.
+func TestLeaderOfIdleGroup(t *testing.T) {
+	old := catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: 3, Primary: true}
+	draining := old
+	draining.Draining = true
+	lead := func(r *Registry) *Group {
+		r.Put(old)
+		g := r.Group("g")
+		g.setLeader(&LeaderView{Leader: leadership.Leader{ID: old.ID, Term: 1}, Target: g.Targets()[0]})
+		return g
+	}
+	Convey("The leader of a group that was not in use is looked for again if it leaves", t, func() {
+		r := newRegistry(t)
+		g := lead(r)
+		r.Put(draining)
+		g.Use()
+		So(g.Leader(), ShouldBeNil)
+	})
+	Convey("and kept if nothing speaks against it", t, func() {
+		r := newRegistry(t)
+		g := lead(r)
+		g.Use()
+		So(g.Leader(), ShouldNotBeNil)
+	})
+	Convey("In a group in use, a leader that leaves serves until another is found", t, func() {
+		r := newRegistry(t)
+		g := lead(r)
+		g.Use()
+		r.Put(draining)
+		g.Use()
+		So(g.Leader(), ShouldNotBeNil)
+	})
+}
+
+func TestDrained(t *testing.T) {
+	info := catalog.Target{ID: "i-1", Group: "g", Draining: true}
+	bound := 7 * time.Second
+	Convey("A target takes no work once it has been known to drain for most of the bound", t, func() {
+		ready := info
+		ready.Draining = false
+		target := NewTarget(ready, nowhere{})
+		So(target.Drained(boottime.Now()+time.Hour, bound), ShouldBeFalse)
+		target.SetInfo(info)
+		now := boottime.Now()
+		So(target.Drained(now+4*time.Second, bound), ShouldBeFalse)
+		target.SetInfo(info)
+		So(target.Drained(now+5500*time.Millisecond, bound), ShouldBeTrue)
+		target.SetInfo(ready)
+		So(target.Drained(now+5500*time.Millisecond, bound), ShouldBeFalse)
+	})
+	Convey("A target that was found draining may have drained for long", t, func() {
+		So(NewTarget(info, nowhere{}).Drained(boottime.Now(), bound), ShouldBeTrue)
+	})
+}
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -31,6 +31,9 @@
 
 	info     atomic.Pointer[catalog.Target]
 	counters targetCounters
+	// drainingSince is when the target was first known to drain, since boot; zero if
+	// it does not.
+	drainingSince atomic.Int64
 
 	mu       sync.Mutex
 	latency  time.Duration     // guarded by mu; moving average of answers
@@ -53,6 +56,9 @@
 		full:  metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_full_total{domain=%q}`, info.FailureDomain)),
 	}}
 	t.info.Store(&info)
+	if info.Draining {
+		t.drainingSince.Store(unknownSince)
+	}
 	t.Gate = newGate(info.Slots)
 	t.Pool = &Pool{target: t, dialer: dialer, base: 1, limit: 2}
 	return t
@@ -66,6 +72,26 @@
 // SetInfo replaces what the platform lists of the target.
 func (t *Target) SetInfo(info catalog.Target) {
 	t.info.Store(&info)
+	if info.Draining {
+		t.drainingSince.CompareAndSwap(0, int64(boottime.Now()))
+	} else {
+		t.drainingSince.Store(0)
+	}
+}
+
+// unknownSince is the drainingSince of a target that was found draining.
+const unknownSince = -1
+
+// drainMargin is how long before the end of its drain a target takes no more work:
+// the watch may tell of it late, and a request may wait for a connection.
+const drainMargin = 2 * time.Second
+
+// Drained reports whether the target has been draining for so long that it must not
+// get new work. bound is the time after which the platform allows none. A target that
+// was found draining may have drained for any time.
+func (t *Target) Drained(now, bound time.Duration) bool {
+	since := t.drainingSince.Load()
+	return since != 0 && (since == unknownSince || now-time.Duration(since) > bound-drainMargin)
 }
 
 // State is a snapshot of what is known of a target.
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -16,12 +16,17 @@
 	}
 	var failed *backend.LeaderView
 	for {
-		l := w.group.Leader()
+		l, known := w.group.Serving()
 		if l == nil || l == failed {
-			if l = w.group.WaitLeader(failed, w.queueUntil); l == nil {
-				a := e.refuseWork(w, query.Busy, "no_primary")
+			reason := "no_primary"
+			if l == nil && known != nil {
+				failed, reason = known, "primary_drained"
+			}
+			if w.group.WaitLeader(failed, w.queueUntil) == nil {
+				a := e.refuseWork(w, query.Busy, reason)
 				return nil, nil, &a
 			}
+			continue
 		}
 		link, verdict := e.acquire(w, l.Target)
 		switch verdict {
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/laburnumrack/laburnumrack/internal/catalog"
+	"github.com/laburnumrack/laburnumrack/internal/standin/site"
 	"github.com/laburnumrack/laburnumrack/internal/unit"
 )
 
@@ -75,6 +77,76 @@
 	})
 }
 
+// Seen on the users' bench: a request at a draining primary 8.4 s after it had said that
+// it leaves, by a daemon that had not used the group since before the handover.
+func TestIdleHandover(t *testing.T) {
+	Convey("After a handover that no request saw, none reaches the old primary", t, func() {
+		w := newWorld(t, "north", "west")
+		callers := []*caller{w.connect(w.nodes[0], dbCurrent), w.connect(w.nodes[1], dbCurrent)}
+		for _, c := range callers {
+			So(c.Do("READ k").OK(), ShouldBeTrue)
+		}
+		time.Sleep(groupIdle)
+		w.group.Drain(0)
+		w.eventually(8*time.Second, "another target leads", func() bool { p, _ := w.group.Primary(); return p > 0 })
+		time.Sleep(handoverEnds)
+		for _, c := range callers {
+			r := c.Do("READ k")
+			So(r.OK(), ShouldBeTrue)
+			So(w.group.RanOn(r.ID), ShouldNotEqual, 0)
+		}
+	})
+}
+
+// Times of the test of idle groups.
+const (
+	// groupIdle is longer than a group counts as in use.
+	groupIdle = 5500 * time.Millisecond
+	// handoverEnds is how long after a promotion its holder is done with it.
+	handoverEnds = time.Second
+)
+
+// drainingEntry is what a relay passes on of the draining primary.
+func drainingEntry(w *world) catalog.Target {
+	for _, t := range w.nodes[0].registry.Group("grp").Targets() {
+		if info := t.Info(); info.Primary {
+			info.Draining = true
+			return info
+		}
+	}
+	w.t.Fatal("no primary is listed")
+	return catalog.Target{}
+}
+
+func TestHandoverHeldBack(t *testing.T) {
+	Convey("A primary that leaves takes no request after the time it has, also without a successor", t, func() {
+		w := newWorld(t, "north")
+		c := w.connect(w.nodes[0], dbCurrent)
+		So(c.Do("WRITE k 0").OK(), ShouldBeTrue)
+		w.store.SetFault(site.Busy)
+		drained := time.Now()
+		w.group.Drain(0)
+		w.nodes[0].registry.Put(drainingEntry(w))
+		served, refused := 0, 0
+		for time.Since(drained) < testDrain+time.Second {
+			sent := time.Now()
+			r := c.Do("READ k")
+			if w.group.RanOn(r.ID) == 0 {
+				served++
+				So(sent.Sub(drained), ShouldBeLessThan, testDrain)
+			} else {
+				refused++
+				So(r.Code(), ShouldEqual, "BUSY")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		So(served, ShouldBeGreaterThan, 0)
+		So(refused, ShouldBeGreaterThan, 0)
+		w.store.SetFault(site.Healthy)
+		writeUntil(w, c, "k", 1)
+	})
+}
+
 // A primary that is cut off from the other targets goes on answering callers after
 // another was promoted. Seen as 37 stale reads in a day of the users' bench: one
 // replica alone was asked, and the promotion had released its hold.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,9 @@
 	promoter := &failover.Promoter{Duties: n.duties, Cloud: platform.NewCloud(settings.CloudAddress), Log: n.log}
 	place := backend.Place{FailureDomain: settings.FailureDomain, Regions: settings.Regions}
 	relayed := &relayedIntents{direct: permit.New(n.duties), duties: n.duties}
-	n.registry = backend.NewRegistry(n.ctx, place, platform.Targets{}, promoter, permit.New(relayed), n.log)
+	n.registry = backend.NewRegistry(n.ctx, backend.Surroundings{
+		Place: place, Dialer: platform.Targets{}, Promoter: promoter, Permits: permit.New(relayed), DrainTime: settings.DrainTime, Log: n.log,
+	})
 	local := &executor.Executor{Groups: n.registry, Log: n.log}
 	self := fleet.VM{
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -39,6 +39,9 @@
 // whole.
 const listSettles = 3100 * time.Millisecond
 
+// testDrain is how long a target that leaves may take new work.
+const testDrain = 4 * time.Second
+
 // newWorld starts a site and a daemon in each of the zones that are named.
 func newWorld(t *testing.T, zones ...string) *world {
 	t.Helper()
@@ -96,7 +99,7 @@
 	settings := map[string]any{
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
-		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4},
+		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4, "drain_ms": testDrain.Milliseconds()},
 		"platform": map[string]any{"addr": w.store.Address, "form": "objects"},
 		"cloud":    map[string]any{"addr": w.cloud.Address}, "a_field_of_tomorrow": true,
 	}
