--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -11,8 +11,11 @@
 
 // Times of the monitor.
 const (
-	// calmInterval is the time between looks at a group that is well.
-	calmInterval = time.Second
+	// idleInterval is the time between checks of a group that no unit needs.
+	idleInterval = time.Second
+	// checkInterval is the time between checks of a group in use. A check that finds
+	// nothing doubtful asks no target.
+	checkInterval = 50 * time.Millisecond
 	// alertInterval is the time between looks at a group without a leader.
 	alertInterval = 50 * time.Millisecond
 	// quietLeader is the silence of a leader with statements out after which it is
@@ -47,10 +50,13 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		interval = calmInterval
-		if m.needsLook() {
+		interval = idleInterval
+		switch {
+		case m.needsLook():
 			interval = alertInterval
 			m.look(ctx)
+		case m.group.inUse():
+			interval = checkInterval
 		}
 	}
 }
@@ -63,13 +69,19 @@
 		return false
 	case g.Demanded() > g.JoinedTerm():
 		return true
-	case boottime.Now()-time.Duration(g.used.Load()) < inUseFor && g.used.Load() > 0:
+	case g.inUse():
 		return m.leaderDoubtful()
 	default:
 		return g.Promoter.Holder() && g.listedPrimaryLeaves()
 	}
 }
 
+// inUse reports whether a unit has needed the group lately.
+func (g *Group) inUse() bool {
+	used := g.used.Load()
+	return used > 0 && boottime.Now()-time.Duration(used) < inUseFor
+}
+
 // leaderDoubtful reports whether no leader is known, or it leaves, fails or is
 // silent.
 func (m *monitor) leaderDoubtful() bool {
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -154,3 +154,42 @@
 		So(NewTarget(info, nowhere{}).Drained(boottime.Now(), bound), ShouldBeTrue)
 	})
 }
+
+// dialed fails every dial and tells of it.
+type dialed chan struct{}
+
+func (d dialed) Dial(context.Context, string, string, string) (Conn, error) {
+	select {
+	case d <- struct{}{}:
+	default:
+	}
+	return nil, errors.New("nobody there")
+}
+
+// A primary that went dark was asked for its status up to a second late, because the
+// groups that are well were looked at once a second.
+func TestSilentLeaderIsAskedSoon(t *testing.T) {
+	const soon = quietLeader + 150*time.Millisecond
+	Convey("A leader that leaves a statement without an answer is asked soon after", t, func() {
+		for range 5 {
+			dials := make(dialed, 1)
+			r := newRegistry(t)
+			r.Dialer = dials
+			r.Put(catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: 3})
+			g := r.Group("g")
+			target := g.Targets()[0]
+			g.setLeader(&LeaderView{Leader: leadership.Leader{ID: "i-1", Term: 1}, Target: target})
+			g.Use()
+			time.Sleep(2 * quietLeader) // the looks after the kicks are over
+			target.heard()
+			select {
+			case <-dials:
+			default:
+			}
+			target.Started()
+			sent := time.Now()
+			<-dials
+			So(time.Since(sent), ShouldBeBetween, quietLeader, soon)
+		}
+	})
+}
