Let no statement wait for a place beyond its own time-out

Cause: a request waited before a crowded target until its objective, though its statement may time out earlier (vct pull-permit: 800 ms of 1500). It was then sent after its time-out: the connection was given up, the target counted as failing, a handshake followed, and a write was answered UNSURE though nothing had run.

Test: TestTimeoutBelowObjective plays twice the capacity on a target in memory; before, 141 of 500 writes were answered UNSURE.

--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -63,6 +63,11 @@
 	}
 	w.place = t.Gate
 	link, verdict := t.Pool.Acquire(w.run.header.Session, w.route.Priority, w.queueUntil)
+	if verdict == backend.Acquired && !time.Now().Before(w.deadline) {
+		// A statement that is sent too late would cost the connection.
+		t.Pool.Release(link)
+		link, verdict = nil, backend.Crowded
+	}
 	if verdict != backend.Acquired {
 		w.leavePlace()
 	}
@@ -99,17 +104,21 @@
 }
 
 // useful returns when the answer should be there: the objective, or half of it for
-// the first statement of a transaction, which others follow.
+// the first statement of a transaction, which others follow, but no later than the
+// statement's own time-out.
 func (w *work) useful() time.Time {
+	if w.route.Objective <= 0 {
+		return w.deadline
+	}
 	share := 1.0
 	if w.run.tx != nil {
 		share = firstStatementShare
 	}
 	left := time.Duration(share*float64(w.route.Objective)) - (boottime.Now() - w.arrived)
-	if w.route.Objective <= 0 {
-		return w.deadline
+	if at := time.Now().Add(left); at.Before(w.deadline) {
+		return at
 	}
-	return time.Now().Add(left)
+	return w.deadline
 }
 
 // exchange runs a statement on a connection and notes what that tells of the
--- /dev/null
+++ b/internal/executor/load_test.go
@@ -0,0 +1,183 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/laburnumrack/laburnumrack/internal/backend"
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/catalog"
+	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
+	"github.com/laburnumrack/laburnumrack/internal/permit"
+	"github.com/laburnumrack/laburnumrack/internal/position"
+	"github.com/laburnumrack/laburnumrack/internal/query"
+	"github.com/laburnumrack/laburnumrack/internal/unit"
+)
+
+// database is a target in memory: statements take a slot for the time of their work.
+type database struct {
+	slots chan struct{}
+	// work is how long a statement holds its slot.
+	work time.Duration
+
+	dials, open, ran atomic.Int64
+}
+
+// connection is one connection to a database.
+type connection struct {
+	database *database
+	deadline time.Time
+	pending  []query.Statement
+	closed   atomic.Bool
+}
+
+func (d *database) Dial(context.Context, string, string, string) (backend.Conn, error) {
+	d.dials.Add(1)
+	d.open.Add(1)
+	return &connection{database: d}, nil
+}
+
+func (c *connection) expired() bool {
+	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+}
+
+func (c *connection) Send(statements ...query.Statement) error {
+	if c.expired() {
+		return os.ErrDeadlineExceeded
+	}
+	c.pending = append(c.pending, statements...)
+	return nil
+}
+
+func (c *connection) Receive() (query.Answer, error) {
+	s := c.pending[0]
+	c.pending = c.pending[1:]
+	answer := query.Answer{Signature: "sig", Position: position.Position{Term: 1, Index: 1}, State: query.Idle}
+	if s.Kind == query.Status {
+		return answer, nil
+	}
+	c.database.slots <- struct{}{}
+	time.Sleep(c.database.work)
+	<-c.database.slots
+	c.database.ran.Add(1)
+	if c.expired() {
+		return query.Answer{}, os.ErrDeadlineExceeded
+	}
+	return answer, nil
+}
+
+func (c *connection) ParseStatus(query.Answer) (query.TargetStatus, error) {
+	return query.TargetStatus{Primary: true, Term: 1}, nil
+}
+
+func (c *connection) SetDeadline(at time.Time) error {
+	c.deadline = at
+	return nil
+}
+
+func (c *connection) Alive() bool { return !c.closed.Load() }
+
+func (c *connection) Close() error {
+	if !c.closed.Swap(true) {
+		c.database.open.Add(-1)
+	}
+	return nil
+}
+
+// storeSaysNothing is a store without intents, and nobody who promotes.
+type storeSaysNothing struct{}
+
+func (storeSaysNothing) ReadIntents(context.Context) (permit.Record, error) {
+	return permit.Record{Begun: boottime.Now()}, nil
+}
+
+func (storeSaysNothing) Holder() bool { return false }
+
+func (storeSaysNothing) Promote(context.Context, *backend.Group, leadership.Reason, time.Duration) error {
+	return errors.New("nobody promotes")
+}
+
+// newPlay returns an executor before one database that leads its group.
+func newPlay(t *testing.T, d *database) *Executor {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	log := eventlog.New()
+	registry := backend.NewRegistry(ctx, backend.Surroundings{
+		Place:  backend.Place{FailureDomain: "north", Regions: map[string]string{"north": "home"}},
+		Dialer: d, Promoter: storeSaysNothing{}, Permits: permit.New(storeSaysNothing{}), DrainTime: 7 * time.Second, Log: log,
+	})
+	registry.Declare(&catalog.Configuration{Groups: map[string]catalog.GroupLimits{"g": {Name: "g", MaxConnections: 14}}})
+	registry.Put(catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: cap(d.slots), Primary: true})
+	return &Executor{Groups: registry, Log: log}
+}
+
+// tally counts what callers got.
+type tally struct {
+	mu                          sync.Mutex
+	inTime, late, refused, rest int
+	slowestRefusal              time.Duration
+	codes                       map[string]int
+}
+
+func (c *tally) count(a query.Answer, took, aim time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case a.OK() && took <= aim:
+		c.inTime++
+	case a.OK():
+		c.late++
+	case a.Code == query.Busy:
+		c.refused++
+		c.slowestRefusal = max(c.slowestRefusal, took)
+	default:
+		c.rest++
+		c.codes[fmt.Sprint(a.Code, " ", a.Message)]++
+	}
+}
+
+// play sends a write every interval and returns what callers got.
+func play(e *Executor, route catalog.Route, every time.Duration, n int) *tally {
+	got := &tally{codes: map[string]int{}}
+	var wg sync.WaitGroup
+	for i := range n {
+		time.Sleep(every)
+		wg.Go(func() {
+			u := e.Open(unit.Header{Session: uint64(i), Route: route})
+			defer u.Close()
+			began := time.Now()
+			r := u.Run(unit.Call{Statement: query.Statement{ID: fmt.Sprint("id", i), Kind: query.Write, Writes: true}})
+			got.count(r.Answer, time.Since(began), route.Objective)
+		})
+	}
+	wg.Wait()
+	return got
+}
+
+// Of a group whose replicas lagged, the primary had twice the work that it could do.
+// Statements waited for a place beyond their own time-out, were sent after it, and cost
+// their connection; the writes among them were answered as unknown.
+func TestTimeoutBelowObjective(t *testing.T) {
+	Convey("Where statements time out before the objective, an overload keeps the connections and its answers are true", t, func() {
+		d := &database{slots: make(chan struct{}, 3), work: 20 * time.Millisecond}
+		e := newPlay(t, d)
+		route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: 200 * time.Millisecond, Objective: 400 * time.Millisecond, Priority: 1}
+		const every, n = 3 * time.Millisecond, 500
+		got := play(e, route, every, n)
+		So(got.codes, ShouldBeEmpty)
+		So(got.inTime, ShouldBeGreaterThan, n*every.Microseconds()*3/d.work.Microseconds()*7/10)
+		So(got.refused, ShouldBeGreaterThan, n/4)
+		So(got.slowestRefusal, ShouldBeLessThan, route.StatementTimeout+50*time.Millisecond)
+		So(d.dials.Load(), ShouldBeLessThanOrEqualTo, 14)
+		So(d.open.Load(), ShouldEqual, d.dials.Load())
+	})
+}
