Give places only for connections that no transaction keeps

Cause: a request that had its place before a crowded target waited there for a connection for a quarter of its objective and was refused, while transactions rested on all of them; meanwhile nothing ran in its place. Test: TestRestingTransactions (before: 10 of 10 refused; after: all in time).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -54,6 +54,8 @@
 	// session is the session that used the connection last.
 	session   uint64
 	idleSince time.Time
+	// kept says that a transaction keeps the connection. Guarded by the pool's lock.
+	kept bool
 }
 
 // Target returns the target that the connection leads to.
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	limit   int                                     // guarded by mu
 	most    int                                     // guarded by mu; ceiling of the bound
 	forced  int                                     // guarded by mu; running without a ticket
+	links   int                                     // guarded by mu; connections that are not kept by transactions
 	changed time.Time                               // guarded by mu; last change of limit
 }
 
@@ -43,7 +45,7 @@
 	slots = max(slots, 1)
 	return &Gate{
 		queue:   admission.NewQueue(admission.Config{Slots: slots, MaxWaiting: maxGateWaiting, ServiceTime: firstServiceTime}),
-		waiting: make(map[admission.ID]chan admission.Verdict), slots: slots, limit: slots, most: slots,
+		waiting: make(map[admission.ID]chan admission.Verdict), slots: slots, limit: slots, most: slots, links: math.MaxInt,
 	}
 }
 
@@ -159,6 +161,17 @@
 	g.resize(time.Now())
 }
 
+// SetLinks sets how many connections new work can have: a place without one would
+// only be withheld from the statements of open transactions.
+func (g *Gate) SetLinks(links int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.links != links {
+		g.links = links
+		g.resize(time.Now())
+	}
+}
+
 // Expected returns how long a request would wait now.
 func (g *Gate) Expected() time.Duration {
 	g.mu.Lock()
@@ -176,7 +189,7 @@
 }
 
 func (g *Gate) resize(now time.Time) {
-	g.apply(g.queue.Resize(now, max(g.limit-g.forced, 1)))
+	g.apply(g.queue.Resize(now, min(max(g.limit-g.forced, 1), max(g.links, 0))))
 }
 
 // apply tells those that wait what became of them.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -58,6 +58,7 @@
 	waiters   []*waiter // guarded by mu; sorted by priority, then arrival
 	open      int       // guarded by mu; idle, lent and dialing
 	dialing   int       // guarded by mu
+	kept      int       // guarded by mu; lent to transactions
 	seq       uint64    // guarded by mu
 	base      int       // guarded by mu; connections that are kept though idle
 	limit     int       // guarded by mu
@@ -70,6 +71,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.base, p.limit = base, limit
+	p.tellGate()
+}
+
+// Keep notes that a transaction keeps a lent connection until it ends.
+func (p *Pool) Keep(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.kept = true
+	p.kept++
+	p.tellGate()
+}
+
+// unkeep notes that the transaction of a connection has ended. The lock is held.
+func (p *Pool) unkeep(l *Link) {
+	if l.kept {
+		l.kept = false
+		p.kept--
+		p.tellGate()
+	}
+}
+
+// tellGate tells the gate how many connections are there for new work. The lock is
+// held.
+func (p *Pool) tellGate() {
+	p.target.Gate.SetLinks(p.limit - p.kept)
 }
 
 // controlPriority puts statements of control before all requests.
@@ -255,6 +281,7 @@
 func (p *Pool) Release(l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unkeep(l)
 	if p.closed {
 		p.open--
 		closeQuietly(l.Conn)
@@ -268,6 +295,7 @@
 	closeQuietly(l.Conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unkeep(l)
 	p.open--
 	p.dialIfNeeded(0)
 }
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -195,3 +195,38 @@
 		So(d.open.Load(), ShouldBeLessThanOrEqualTo, 14)
 	})
 }
+
+// Requests that held a place before the target waited there for a connection, while
+// transactions rested on all of them.
+func TestRestingTransactions(t *testing.T) {
+	Convey("Requests wait out the transactions that rest on every connection, and are served in time", t, func() {
+		d := &database{slots: make(chan struct{}, 3), work: 10 * time.Millisecond}
+		e := newPlay(t, d)
+		route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: time.Second, Objective: time.Second, Priority: 1}
+		const connections, rest = 12, 500 * time.Millisecond
+		var resting sync.WaitGroup
+		var ended sync.WaitGroup
+		for i := range connections {
+			resting.Add(1)
+			ended.Go(func() {
+				u := e.Open(unit.Header{Session: uint64(i), Route: route, Begin: &query.Statement{Kind: query.Begin, Writes: true}})
+				defer u.Close()
+				first := u.Run(unit.Call{Statement: query.Statement{ID: fmt.Sprint("first", i), Kind: query.Write, Writes: true}})
+				resting.Done()
+				if !first.Answer.OK() {
+					return
+				}
+				time.Sleep(rest)
+				u.Run(unit.Call{Statement: query.Statement{ID: fmt.Sprint("end", i), Kind: query.Commit}})
+			})
+		}
+		resting.Wait()
+		So(d.open.Load(), ShouldEqual, connections)
+		got := play(e, route, 10*time.Millisecond, 10)
+		ended.Wait()
+		So(got.other, ShouldBeEmpty)
+		So(got.unsure, ShouldBeEmpty)
+		So(got.refused, ShouldEqual, 0)
+		So(got.inTime, ShouldEqual, 10)
+	})
+}
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -86,6 +86,7 @@
 		a, _, err := e.exchange(w, link, begin)
 		if err == nil && a.OK() {
 			tx.link, tx.leader, tx.confirmed = link, l, false
+			l.Target.Pool.Keep(link)
 			return nil
 		}
 		code := "lost"
@@ -119,6 +120,7 @@
 	if err == nil && a.OK() {
 		t.CaughtUp(need.Age)
 		tx.link, tx.leader = link, nil
+		t.Pool.Keep(link)
 		return true
 	}
 	if err == nil && a.Code == query.Behind {
