--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -46,6 +46,7 @@
 	settledAt atomic.Int64
 
 	mu      sync.Mutex
+	grown   chan struct{} // guarded by mu; closed when a group is added
 	ctx     context.Context
 	targets map[string]*listed // guarded by mu; by id
 }
@@ -58,7 +59,7 @@
 
 // NewRegistry returns a registry without groups; its monitors end with ctx.
 func NewRegistry(ctx context.Context, around Surroundings) *Registry {
-	return &Registry{Surroundings: around, ctx: ctx, groups: xsync.NewMap[string, *Group](), targets: make(map[string]*listed)}
+	return &Registry{Surroundings: around, ctx: ctx, groups: xsync.NewMap[string, *Group](), grown: make(chan struct{}), targets: make(map[string]*listed)}
 }
 
 // Group returns a group, nil if none of that name is declared or listed.
@@ -67,6 +68,29 @@
 	return g
 }
 
+// WaitGroup returns a group; one that is not known yet is waited for until the given
+// time. A daemon that has just started gets units of others before its own list.
+func (r *Registry) WaitGroup(name string, until time.Time) *Group {
+	if g := r.Group(name); g != nil {
+		return g
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		grown := r.grown
+		r.mu.Unlock()
+		if g := r.Group(name); g != nil {
+			return g
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return nil
+		}
+	}
+}
+
 // group returns a group and starts its monitor if it is new. The lock is held.
 func (r *Registry) group(name string) *Group {
 	if g, ok := r.groups.Load(name); ok {
@@ -74,6 +98,8 @@
 	}
 	g := newGroup(name, r)
 	r.groups.Store(name, g)
+	close(r.grown)
+	r.grown = make(chan struct{})
 	m := &monitor{group: g}
 	go m.run(r.ctx)
 	return g
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -77,12 +77,8 @@
 func (e *Executor) newWork(r *run, c unit.Call) (*work, query.Code) {
 	w := &work{
 		run: r, st: c.Statement, environment: c.Environment, writes: writes(c), route: r.header.Route,
-		arrived: boottime.Now() - c.Age, group: e.Groups.Group(r.header.Route.Group),
+		arrived: boottime.Now() - c.Age,
 	}
-	if w.group == nil {
-		return w, query.Busy
-	}
-	w.group.Use()
 	timeout := w.route.StatementTimeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -93,6 +89,10 @@
 	}
 	now := time.Now().Add(-c.Age)
 	w.deadline, w.queueUntil = now.Add(timeout), now.Add(queue)
+	if w.group = e.Groups.WaitGroup(w.route.Group, w.queueUntil); w.group == nil {
+		return w, query.Busy
+	}
+	w.group.Use()
 	return w, query.OK
 }
 
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -230,3 +230,30 @@
 		So(got.inTime, ShouldEqual, 10)
 	})
 }
+
+// After a loss of power, entries that had started sooner sent units to a home that did
+// not know the groups yet, which refused them.
+func TestUnitBeforeItsGroup(t *testing.T) {
+	route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: time.Second, Objective: 800 * time.Millisecond}
+	write := unit.Call{Statement: query.Statement{ID: "id", Kind: query.Write, Writes: true}}
+	Convey("A unit that comes before the list of its group waits for it", t, func() {
+		d := &database{slots: make(chan struct{}, 3), work: time.Millisecond}
+		e := newPlay(t, d)
+		late := route
+		late.Group = "late"
+		time.AfterFunc(100*time.Millisecond, func() {
+			e.Groups.Put(catalog.Target{ID: "i-2", Group: "late", Address: "10.0.0.2:1", FailureDomain: "north", Slots: 3, Primary: true})
+		})
+		u := e.Open(unit.Header{Route: late})
+		So(u.Run(write).Answer.Code, ShouldEqual, query.OK)
+	})
+	Convey("and is refused where the group stays unknown", t, func() {
+		e := newPlay(t, &database{slots: make(chan struct{}, 3)})
+		unknown := route
+		unknown.Group = "unknown"
+		began := time.Now()
+		u := e.Open(unit.Header{Route: unknown})
+		So(u.Run(write).Answer.Code, ShouldEqual, query.Busy)
+		So(time.Since(began), ShouldBeLessThan, route.Objective/2)
+	})
+}
