Requests give way by their weight for the slot time that they take in all

Who gave way was decided by the mean time of an exchange, which the queue inside the target makes equal for all kinds, and a transaction counted as one statement. Now: the least time of a kind, times the statements that transactions of the database have.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -52,6 +52,7 @@
 	id       ID
 	weight   int
 	kind     string
+	cost     time.Duration
 	deadline time.Time
 }
 
@@ -107,7 +108,7 @@
 // whatever the prediction says, so that one slow request can't raise the estimate
 // to where nothing runs any more and nothing corrects it.
 func (q *Queue) Offer(now time.Time, t Ticket) Decision {
-	w := waiting{id: t.ID, weight: max(t.Weight, 1), kind: t.Kind, deadline: t.Deadline}
+	w := waiting{id: t.ID, weight: max(t.Weight, 1), kind: t.Kind, cost: t.Cost, deadline: t.Deadline}
 	if w.deadline.IsZero() {
 		w.deadline = now.Add(q.config.Patience)
 	}
@@ -211,7 +212,7 @@
 
 // fit takes tickets out until the rest is within the bound and predicted to be
 // served in time. In a run of tickets that is too long for its last deadline, the
-// one with the least weight for its service time gives way.
+// one with the least weight for its cost gives way.
 func (q *Queue) fit(now time.Time) []removal {
 	var out []removal
 	ahead := q.service.expected("")
@@ -244,7 +245,7 @@
 }
 
 // lightest returns the index of the ticket in queue[0..last] with the least
-// weight for its service time; among equals the last one.
+// weight for its cost; among equals the last one.
 func (q *Queue) lightest(last int) int {
 	victim := 0
 	least := q.density(0)
@@ -256,10 +257,14 @@
 	return victim
 }
 
-// density is the weight of the ticket at index i for each unit of service time.
+// density is the weight of the ticket at index i for each unit of its cost.
 func (q *Queue) density(i int) float64 {
 	w := q.queue[i]
-	return float64(w.weight) / float64(q.service.expected(w.kind))
+	cost := w.cost
+	if cost <= 0 {
+		cost = q.service.expected(w.kind)
+	}
+	return float64(w.weight) / float64(cost)
 }
 
 // answer turns the removals into the decision on ticket id.
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -18,6 +18,10 @@
 	// Kind names requests that are alike, such as those of one statement; their
 	// service time is estimated together. Empty means any.
 	Kind string
+	// Cost is the time of a slot that serving the request takes in all, which its
+	// service time overstates if the slots lie behind another queue, and understates
+	// if more follows it. Zero means the service time.
+	Cost time.Duration
 	// Deadline is the latest useful end; the zero time leaves it to
 	// Config.Patience.
 	Deadline time.Time
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -18,6 +18,11 @@
 	// growInterval is the time without a busy answer after which one more statement
 	// may run.
 	growInterval = 500 * time.Millisecond
+	// leastGain is the inverse of the share by which a slower statement raises the
+	// least time of its kind, so that it follows a target that has become slower.
+	leastGain = 256
+	// maxGateKinds bounds the kinds of requests that are told apart.
+	maxGateKinds = 256
 	// firstServiceTime is the first guess of the time of a statement.
 	firstServiceTime = 25 * time.Millisecond
 )
@@ -32,6 +37,7 @@
 	waiting map[admission.ID]chan admission.Verdict // guarded by mu
 	retry   time.Duration                           // guarded by mu; told with the last refusal
 	slots   int                                     // guarded by mu; floor of the bound
+	least   map[string]time.Duration                // guarded by mu; least time of a statement by kind
 	limit   int                                     // guarded by mu
 	most    int                                     // guarded by mu; ceiling of the bound
 	forced  int                                     // guarded by mu; running without a ticket
@@ -45,7 +51,7 @@
 	slots = max(slots, 1)
 	return &Gate{
 		queue:   admission.NewQueue(admission.Config{Slots: slots, MaxWaiting: maxGateWaiting, ServiceTime: firstServiceTime}),
-		waiting: make(map[admission.ID]chan admission.Verdict), slots: slots, limit: slots, most: slots, links: math.MaxInt,
+		waiting: make(map[admission.ID]chan admission.Verdict), least: make(map[string]time.Duration), slots: slots, limit: slots, most: slots, links: math.MaxInt,
 	}
 }
 
@@ -55,6 +61,9 @@
 	Kind string
 	// Weight is what serving the request counts.
 	Weight int
+	// Statements is how many turns of a slot the request takes in all; below 1
+	// counts as 1.
+	Statements float64
 	// Deadline is the latest useful end.
 	Deadline time.Time
 }
@@ -66,7 +75,7 @@
 	g.mu.Lock()
 	g.grow(now)
 	id := admission.ID(ticketNumber.Add(1))
-	d := g.queue.Offer(now, admission.Ticket{ID: id, Weight: r.Weight, Kind: r.Kind, Deadline: r.Deadline})
+	d := g.queue.Offer(now, admission.Ticket{ID: id, Weight: r.Weight, Kind: r.Kind, Cost: g.cost(r), Deadline: r.Deadline})
 	g.refuse(d.Evicted)
 	switch d.Verdict {
 	case admission.Run:
@@ -111,9 +120,31 @@
 func (g *Gate) Leave(kind string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.noteLeast(kind, took)
 	g.apply(g.queue.Release(time.Now(), kind, took))
 }
 
+// noteLeast follows the least time of a kind: the time without the queue in the
+// target, which grows for all kinds when the target is crowded. The lock is held.
+func (g *Gate) noteLeast(kind string, took time.Duration) {
+	least, ok := g.least[kind]
+	switch {
+	case ok && took > least:
+		g.least[kind] = least + (took-least)/leastGain
+	case ok || len(g.least) < maxGateKinds:
+		g.least[kind] = took
+	}
+}
+
+// cost is the time of a slot that a request takes in all. The lock is held.
+func (g *Gate) cost(r Request) time.Duration {
+	least, ok := g.least[r.Kind]
+	if !ok {
+		least = firstServiceTime
+	}
+	return time.Duration(float64(least) * max(r.Statements, 1))
+}
+
 // Abandon gives a place back in which nothing ran.
 func (g *Gate) Abandon() {
 	g.mu.Lock()
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -56,7 +56,9 @@
 
 func (e *Executor) tryAcquire(w *work, t *backend.Target) (*backend.Link, backend.Verdict) {
 	w.leavePlace()
-	retryAfter, ok := t.Gate.Enter(backend.Request{Kind: w.kind(), Weight: max(1, lowestPriority-w.route.Priority), Deadline: w.useful()})
+	retryAfter, ok := t.Gate.Enter(backend.Request{
+		Kind: w.kind(), Weight: max(1, lowestPriority-w.route.Priority), Statements: e.statements(w), Deadline: w.useful(),
+	})
 	if !ok {
 		w.retryAfter = retryAfter
 		return nil, backend.Crowded
@@ -95,6 +97,14 @@
 	}
 }
 
+// statements returns how many statements the work is expected to have in all.
+func (e *Executor) statements(w *work) float64 {
+	if w.run.tx == nil {
+		return 1
+	}
+	return e.lengths.expected(w.route.Database)
+}
+
 // kind names requests that take about as long.
 func (w *work) kind() string {
 	if w.writes {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -15,8 +15,14 @@
 
 // Executor runs units. It may be used by any goroutine.
 type Executor struct {
-	Groups *backend.Registry
-	Log    *eventlog.Log
+	Groups  *backend.Registry
+	Log     *eventlog.Log
+	lengths lengths
+}
+
+// New returns an executor on the targets of groups.
+func New(groups *backend.Registry, log *eventlog.Log) *Executor {
+	return &Executor{Groups: groups, Log: log, lengths: newLengths()}
 }
 
 // Times of a statement.
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -121,7 +121,7 @@
 	})
 	registry.Declare(&catalog.Configuration{Groups: map[string]catalog.GroupLimits{"g": {Name: "g", MaxConnections: 14}}})
 	registry.Put(catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: cap(d.slots), Primary: true})
-	return &Executor{Groups: registry, Log: log}
+	return New(registry, log)
 }
 
 // tally counts what callers got.
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -34,6 +34,8 @@
 	answered  bool
 	confirmed bool
 	wrote     bool
+	// statements counts those that targets answered.
+	statements int
 }
 
 // Open opens a unit on this daemon.
@@ -64,6 +66,10 @@
 	if r.tx != nil && !r.over {
 		r.executor.endLink(r.tx)
 	}
+	if r.tx != nil && r.tx.statements > 0 {
+		r.executor.lengths.note(r.header.Route.Database, r.tx.statements)
+		r.tx.statements = 0
+	}
 	r.over = true
 }
 
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -27,6 +27,7 @@
 	if !a.OK() {
 		return e.failedInTransaction(w, a)
 	}
+	tx.statements++
 	tx.wrote = tx.wrote || w.writes
 	if tx.leader != nil && !tx.confirmed {
 		if w.group.Confirm(tx.leader) != backend.Confirmed {
@@ -157,6 +158,7 @@
 		}
 		return e.unknown(w, "answer_lost", tx.leader, err)
 	}
+	tx.statements++
 	giveBack(tx.link, a)
 	a.State = query.Idle
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	n.registry = backend.NewRegistry(n.ctx, backend.Surroundings{
 		Place: place, Dialer: platform.Targets{}, Promoter: promoter, Permits: permit.New(relayed), DrainTime: settings.DrainTime, Log: n.log,
 	})
-	local := &executor.Executor{Groups: n.registry, Log: n.log}
+	local := executor.New(n.registry, n.log)
 	self := fleet.VM{
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
 		Peer: netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
