Entries ask homes of other failure domains when their own is cut off; new homes go by the listed primary

Their domain's callers were refused (not_confirmed) for 3 s after other domains had found the new primary. A home that refuses for this reason says so, and the entry runs the statement at a home of another failure domain; a write that may have run is not repeated. Tests: TestCutOffHome (front), TestElsewhere (homes).

Tried first and not kept: daemons that are cut off report not ready. It never came to that: they confirm answers of the other groups by the replicas.

Test: TestNewHomeOfDarkPrimary (before: reason promotion_stalled after 1.5 s).

--- a/internal/backend/confirm.go
+++ b/internal/backend/confirm.go
@@ -25,6 +25,8 @@
 	Deposed
 	// Unconfirmed says that neither the store nor every replica answered in time.
 	Unconfirmed
+	// Alone says that neither the store nor any replica answered in time.
+	Alone
 )
 
 // roundTimeout bounds a round of questions: two round trips between regions and the
@@ -45,9 +47,10 @@
 type round struct {
 	primary *Target
 	done    chan struct{}
-	// term is the highest term that was shown; ok says that every replica answered.
+	// term is the highest term that was shown.
 	term position.Term
-	ok   bool
+	// answered is the number of the replicas that answered, of those asked.
+	answered, asked int
 }
 
 // Confirm tells whether the answer that a primary gave before this call counts: a
@@ -78,7 +81,9 @@
 	case g.KnownTerm() > l.Term:
 		g.Depose(l)
 		return Deposed
-	case !r.ok:
+	case r.asked > 0 && r.answered == 0:
+		return Alone
+	case r.asked == 0 || r.answered < r.asked:
 		return Unconfirmed
 	default:
 		return Confirmed
@@ -137,25 +142,22 @@
 			replicas = append(replicas, t)
 		}
 	}
-	terms := make(chan position.Term, len(replicas))
-	failed := make(chan struct{}, len(replicas))
+	r.asked = len(replicas)
+	statuses := make(chan *query.TargetStatus, r.asked)
 	for _, t := range replicas {
 		go func() {
 			status, err := t.Control(ctx, query.Statement{Kind: query.Status})
 			if err != nil {
-				failed <- struct{}{}
+				statuses <- nil
 				return
 			}
-			terms <- max(status.Term, status.Held)
+			statuses <- &status
 		}()
 	}
-	r.ok = len(replicas) > 0
 	for range replicas {
-		select {
-		case term := <-terms:
-			r.term = max(r.term, term)
-		case <-failed:
-			r.ok = false
+		if status := <-statuses; status != nil {
+			r.answered++
+			r.term = max(r.term, status.Term, status.Held)
 		}
 	}
 	close(r.done)
--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -138,12 +138,26 @@
 	if m.since == 0 {
 		m.since = now
 	}
-	reason := leadership.Due(m.observed, m.last, g.KnownTerm(), now-m.since, leadership.DefaultPolicy)
+	reason := leadership.Due(m.observed, m.lastLeader(), g.KnownTerm(), now-m.since, leadership.DefaultPolicy)
 	if reason != leadership.NotNeeded {
 		m.promote(ctx, reason)
 	}
 }
 
+// lastLeader returns the leader that was known last, or else the target that calls
+// itself primary in the list.
+func (m *monitor) lastLeader() leadership.Leader {
+	if m.last.ID != "" {
+		return m.last
+	}
+	for _, t := range m.group.Targets() {
+		if info := t.Info(); info.Primary && !info.Draining {
+			return leadership.Leader{ID: info.ID, Term: m.group.KnownTerm()}
+		}
+	}
+	return m.last
+}
+
 // promote has another target promoted, unless there may be targets that are not
 // known: one of them may lead, or hold what the others lack.
 func (m *monitor) promote(ctx context.Context, reason leadership.Reason) {
--- a/internal/backend/provable.go
+++ b/internal/backend/provable.go
@@ -23,11 +23,13 @@
 	mu          sync.Mutex
 	failedSince time.Duration // guarded by mu; first failure in a row, since boot
 	lastTrial   time.Duration // guarded by mu
+	alone       bool          // guarded by mu; the last failure reached no replica
 }
 
 func (p *provable) note(c Confirmation, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.alone = c == Alone
 	if c == Confirmed {
 		p.failedSince = 0
 	} else if p.failedSince == 0 {
@@ -54,3 +56,11 @@
 func (g *Group) TryLeader() bool {
 	return g.provable.try(boottime.Now())
 }
+
+// CutOff reports whether the last confirmation reached neither the store nor any
+// replica.
+func (g *Group) CutOff() bool {
+	g.provable.mu.Lock()
+	defer g.provable.mu.Unlock()
+	return g.provable.alone
+}
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -193,3 +193,59 @@
 		}
 	})
 }
+
+// replicaOnly connects to targets that are replicas of term 1; the one at dark never
+// answers a connect.
+type replicaOnly struct{ dark string }
+
+func (r replicaOnly) Dial(ctx context.Context, address, _, _ string) (Conn, error) {
+	if address == r.dark {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return replicaConn{}, nil
+}
+
+// replicaConn answers every statement.
+type replicaConn struct{}
+
+func (replicaConn) Send(...query.Statement) error  { return nil }
+func (replicaConn) Receive() (query.Answer, error) { return query.Answer{}, nil }
+func (replicaConn) SetDeadline(time.Time) error    { return nil }
+func (replicaConn) Alive() bool                    { return true }
+func (replicaConn) Close() error                   { return nil }
+func (replicaConn) ParseStatus(query.Answer) (query.TargetStatus, error) {
+	return query.TargetStatus{Term: 1}, nil
+}
+
+// asked records the first promotion that it is asked for.
+type asked struct {
+	nobody
+	reasons chan leadership.Reason
+}
+
+func (a asked) Promote(_ context.Context, _ *Group, reason leadership.Reason, _ time.Duration) error {
+	select {
+	case a.reasons <- reason:
+	default:
+	}
+	return nil
+}
+
+// A daemon became home of a group during a partition, and waited 1.5 s for a leader that
+// it had never known, though the list named the primary that did not answer.
+func TestNewHomeOfDarkPrimary(t *testing.T) {
+	Convey("A home that never knew the leader goes by the listed primary", t, func() {
+		r := newRegistry(t)
+		promoter := asked{reasons: make(chan leadership.Reason, 1)}
+		r.Dialer, r.Promoter = replicaOnly{dark: "10.0.0.1:1"}, promoter
+		one := catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: 3, Primary: true}
+		two := catalog.Target{ID: "i-2", Group: "g", Address: "10.0.0.2:1", FailureDomain: "north", Slots: 3}
+		r.List([]catalog.Target{one, two})
+		r.settledAt.Store(1)
+		began := time.Now()
+		r.Group("g").Use()
+		So(<-promoter.reasons, ShouldEqual, leadership.PrimaryUnreachable)
+		So(time.Since(began), ShouldBeLessThan, leadership.DefaultPolicy.LeaderlessAfter)
+	})
+}
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -11,6 +11,7 @@
 // leaderLink returns a connection to the leader, or the refusal.
 func (e *Executor) leaderLink(w *work) (*backend.LeaderView, *backend.Link, *query.Answer) {
 	if !w.group.TryLeader() {
+		w.cutOff = w.group.CutOff()
 		a := e.refuseWork(w, query.Busy, "not_confirmed")
 		return nil, nil, &a
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -57,6 +57,8 @@
 	tries int
 	// place is the gate of the target at which the statement holds a place.
 	place *backend.Gate
+	// cutOff says that the last confirmation reached neither store nor replica.
+	cutOff bool
 	// retryAfter is the time to come back that a gate told last.
 	retryAfter time.Duration
 }
@@ -102,6 +104,13 @@
 	return w, query.OK
 }
 
+// confirm asks whether the answer that a leader gave before counts.
+func (w *work) confirm(l *backend.LeaderView) backend.Confirmation {
+	c := w.group.Confirm(l)
+	w.cutOff = c == backend.Alone
+	return c
+}
+
 // tryAgain prepares another try after a target said that nothing ran, and reports
 // whether there is time for one.
 func (e *Executor) tryAgain(w *work, l *backend.LeaderView, code query.Code) bool {
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -126,7 +126,7 @@
 
 // tally counts what callers got.
 type tally struct {
-	mu                          sync.Mutex
+	mu                    sync.Mutex
 	inTime, late, refused int
 	slowestRefusal        time.Duration
 	// unsure are the ids of the statements that were said to have run perhaps.
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -95,7 +95,7 @@
 		if !a.OK() {
 			return a
 		}
-		if c := w.group.Confirm(l); c == backend.Confirmed {
+		if c := w.confirm(l); c == backend.Confirmed {
 			w.group.Facts.Add(freshness.Fact{At: at, Position: a.Position})
 			a.State = query.Idle
 			return a
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -58,7 +58,7 @@
 		r.executor.Log.Success("served", "request", w.st.ID, "database", w.route.Database, "group", w.route.Group, "position", a.Position.String(),
 			"tries", w.tries, "took_ms", whole.Milliseconds(), "config_version", r.header.Version)
 	}
-	return unit.Reply{Answer: a, Committed: r.committed}
+	return unit.Reply{Answer: a, CutOff: w.cutOff, Committed: r.committed}
 }
 
 // Close gives the unit up; an open transaction is rolled back.
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -30,7 +30,7 @@
 	tx.statements++
 	tx.wrote = tx.wrote || w.writes
 	if tx.leader != nil && !tx.confirmed {
-		if w.group.Confirm(tx.leader) != backend.Confirmed {
+		if w.confirm(tx.leader) != backend.Confirmed {
 			return e.failTransaction(w, "not_confirmed", nil)
 		}
 		tx.confirmed = true
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -39,7 +39,7 @@
 // confirmWrite passes the success of a write on if the primary led when it
 // answered.
 func (e *Executor) confirmWrite(w *work, l *backend.LeaderView, a query.Answer) query.Answer {
-	switch w.group.Confirm(l) {
+	switch w.confirm(l) {
 	case backend.Confirmed:
 		w.run.committed = a.Position
 		a.State = query.Idle
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -17,6 +17,8 @@
 type Homes interface {
 	// Openers returns the openers to ask for a group, best first.
 	Openers(group string) []unit.Opener
+	// Elsewhere returns the homes of a group in other failure domains, nearest first.
+	Elsewhere(group string) []unit.Opener
 }
 
 // Limits of the state of one session.
@@ -174,12 +176,16 @@
 }
 
 // open runs the first statement of a unit at the first home that takes it. If
-// repeatable, a home that is lost meanwhile is followed by the next.
+// repeatable, a home that is lost meanwhile is followed by the next. A home that is
+// cut off is followed by those of other failure domains.
 func (s *Session) open(h unit.Header, st query.Statement, arrived time.Duration, repeatable bool) (unit.Unit, unit.Reply) {
 	reply := unit.Reply{Fate: unit.NotRun}
 	for _, o := range s.homes.Openers(h.Route.Group) {
 		u := o.Open(h)
 		reply = u.Run(s.call(st, arrived))
+		if refusedCutOff(reply) {
+			return s.openElsewhere(u, reply, h, st, arrived)
+		}
 		if reply.Fate == unit.Answered {
 			return u, reply
 		}
@@ -192,6 +198,35 @@
 	return nil, reply
 }
 
+// openElsewhere runs the first statement of a unit, which the cut off home of u has
+// refused, at the first home of another failure domain that is not cut off. Without
+// one, the refusal stands.
+func (s *Session) openElsewhere(u unit.Unit, refusal unit.Reply, h unit.Header, st query.Statement, arrived time.Duration) (unit.Unit, unit.Reply) {
+	for _, o := range s.homes.Elsewhere(h.Route.Group) {
+		other := o.Open(h)
+		reply := other.Run(s.call(st, arrived))
+		if reply.Fate == unit.NotRun || refusedCutOff(reply) {
+			other.Close()
+			continue
+		}
+		u.Close()
+		reasons.Retried("home_cut_off")
+		s.log.Retry("home_cut_off", "request", st.ID, "group", h.Route.Group, "fate", fateReason(reply.Fate), "code", reply.Answer.Code.String())
+		if reply.Fate == unit.Lost {
+			other.Close()
+			return nil, reply
+		}
+		return other, reply
+	}
+	return u, refusal
+}
+
+// refusedCutOff reports whether a home kept nothing of a statement because it is cut
+// off.
+func refusedCutOff(r unit.Reply) bool {
+	return r.Fate == unit.Answered && r.CutOff && (r.Answer.Code == query.Busy || r.Answer.Code == query.Aborted)
+}
+
 func (s *Session) call(st query.Statement, arrived time.Duration) unit.Call {
 	c := unit.Call{Statement: st, Environment: query.Environment{Values: s.environment.Values}, Age: boottime.Now() - arrived}
 	if st.Kind == query.Execute {
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -16,7 +16,9 @@
 
 // home answers calls as its script says, by the text of the statement.
 type home struct {
-	fate  map[string]unit.Fate
+	fate map[string]unit.Fate
+	// cutOff makes it refuse all calls, as it reaches neither store nor replicas.
+	cutOff bool
 	calls []string
 	seen  []position.Position
 	open  int
@@ -35,6 +37,9 @@
 
 func (u *homeUnit) Run(c unit.Call) unit.Reply {
 	u.home.calls = append(u.home.calls, c.Statement.Text)
+	if u.home.cutOff {
+		return unit.Reply{Answer: query.Failure(query.Busy, query.Idle, "not run"), CutOff: true}
+	}
 	if f := u.home.fate[c.Statement.Text]; f != unit.Answered {
 		return unit.Reply{Fate: f}
 	}
@@ -50,20 +55,29 @@
 
 func (u *homeUnit) Close() { u.home.open-- }
 
-type homesOf []*home
+// homesOf are the homes of the own failure domain and of others.
+type homesOf struct{ own, others []*home }
+
+func (h homesOf) Openers(string) []unit.Opener { return openers(h.own) }
 
-func (h homesOf) Openers(string) []unit.Opener {
+func (h homesOf) Elsewhere(string) []unit.Opener { return openers(h.others) }
+
+func openers(homes []*home) []unit.Opener {
 	var out []unit.Opener
-	for _, o := range h {
+	for _, o := range homes {
 		out = append(out, o)
 	}
 	return out
 }
 
 func sessionAt(homes ...*home) *Session {
+	return sessionOf(homesOf{own: homes})
+}
+
+func sessionOf(homes homesOf) *Session {
 	var c catalog.Holder
 	c.Apply(&catalog.Configuration{Version: 1, Routes: map[string]catalog.Route{"db": {Database: "db", Group: "g"}}})
-	s := &Server{Homes: homesOf(homes), Configuration: &c, Log: eventlog.New()}
+	s := &Server{Homes: homes, Configuration: &c, Log: eventlog.New()}
 	return s.newSession("db", "caller")
 }
 
@@ -115,6 +129,43 @@
 	})
 }
 
+// A partition left the homes of a failure domain with the old primary of one group;
+// callers there were refused for 3 s after other domains had found the new one.
+func TestCutOffHome(t *testing.T) {
+	Convey("A statement that a cut off home refused is run by a home of another failure domain", t, func() {
+		own, cut, other := &home{cutOff: true}, &home{cutOff: true}, &home{}
+		s := sessionOf(homesOf{own: []*home{own, {}}, others: []*home{cut, other}})
+		So(do(s, query.Write, "w").OK(), ShouldBeTrue)
+		So(do(s, query.Read, "r").OK(), ShouldBeTrue)
+		So(other.calls, ShouldResemble, []string{"w", "r"})
+		So(other.seen[1], ShouldResemble, position.Position{Term: 1, Index: 1})
+		So(own.open+cut.open+other.open, ShouldEqual, 0)
+	})
+	Convey("A transaction begins there, and stays there", t, func() {
+		own, other := &home{cutOff: true}, &home{}
+		s := sessionOf(homesOf{own: []*home{own}, others: []*home{other}})
+		do(s, query.Begin, "")
+		So(do(s, query.Write, "a").OK(), ShouldBeTrue)
+		own.cutOff = false
+		So(do(s, query.Write, "b").OK(), ShouldBeTrue)
+		So(do(s, query.Commit, "COMMIT").OK(), ShouldBeTrue)
+		So(other.calls, ShouldResemble, []string{"a", "b", "COMMIT"})
+		So(own.open+other.open, ShouldEqual, 0)
+	})
+	Convey("Where all are cut off, the refusal stands", t, func() {
+		own, cut := &home{cutOff: true}, &home{cutOff: true}
+		s := sessionOf(homesOf{own: []*home{own}, others: []*home{cut, {fate: map[string]unit.Fate{"w": unit.NotRun}}}})
+		So(do(s, query.Write, "w").Code, ShouldEqual, query.Busy)
+		So(own.open+cut.open, ShouldEqual, 0)
+	})
+	Convey("A write that is lost there is not sent again", t, func() {
+		own, lost, other := &home{cutOff: true}, &home{fate: map[string]unit.Fate{"w": unit.Lost}}, &home{}
+		s := sessionOf(homesOf{own: []*home{own}, others: []*home{lost, other}})
+		So(do(s, query.Write, "w").Code, ShouldEqual, query.Unsure)
+		So(other.calls, ShouldBeEmpty)
+	})
+}
+
 func TestSessionState(t *testing.T) {
 	Convey("A session carries the end of its last commit to its next unit", t, func() {
 		h := &home{}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +39,9 @@
 	self  fleet.VM
 	local unit.Opener
 	log   *eventlog.Log
-	view  atomic.Pointer[fleet.View]
+	// regions maps each failure domain to its region.
+	regions map[string]string
+	view    atomic.Pointer[fleet.View]
 
 	mu      sync.Mutex
 	tracker *fleet.Tracker          // guarded by mu
@@ -46,9 +50,10 @@
 }
 
 // New returns the homes as seen by the daemon self, which runs units with local.
-func New(self fleet.VM, local unit.Opener, log *eventlog.Log) *Homes {
+// regions maps each failure domain to its region.
+func New(self fleet.VM, regions map[string]string, local unit.Opener, log *eventlog.Log) *Homes {
 	h := &Homes{
-		self: self, local: local, log: log, tracker: fleet.NewTracker(self, nil),
+		self: self, regions: regions, local: local, log: log, tracker: fleet.NewTracker(self, nil),
 		listed: map[string]store.VM{}, clients: map[string]*peer.Client{},
 	}
 	h.publish()
@@ -72,6 +77,25 @@
 	return append(out, h.local)
 }
 
+// Elsewhere returns the homes of a group in other failure domains, those of the own
+// region first.
+func (h *Homes) Elsewhere(group string) []unit.Opener {
+	view := h.view.Load()
+	own := h.self.FailureDomain
+	var near, far []unit.Opener
+	for _, domain := range slices.Sorted(maps.Keys(h.regions)) {
+		homes := view.HomesIn(domain, group, "")
+		switch {
+		case domain == own || len(homes) == 0:
+		case h.regions[domain] == h.regions[own]:
+			near = append(near, h.client(homes[0]))
+		default:
+			far = append(far, h.client(homes[0]))
+		}
+	}
+	return append(near, far...)
+}
+
 // Relay returns the client of the relay to ask for objects, nil if this daemon is
 // the relay.
 func (h *Homes) Relay() *peer.Client {
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -31,7 +31,7 @@
 }
 
 func newHomes(name string) *Homes {
-	return New(fleet.VM{Name: name, Peer: netip.MustParseAddrPort("10.0.0.1:7440"), FailureDomain: "north"}, here{}, eventlog.New())
+	return New(fleet.VM{Name: name, Peer: netip.MustParseAddrPort("10.0.0.1:7440"), FailureDomain: "north"}, map[string]string{"north": "home", "south": "home", "west": "away", "empty": "home"}, here{}, eventlog.New())
 }
 
 func homeName(h *Homes, group string) string {
@@ -125,3 +125,15 @@
 		So(string(s.stored.Value), ShouldContainSubstring, "10.0.0.7:7440")
 	})
 }
+
+func TestElsewhere(t *testing.T) {
+	Convey("A home of each other failure domain, the own region first, and none of the own domain", t, func() {
+		h := newHomes("a")
+		h.Replace([]store.Object{vm("a", "10.0.0.1:7440", "north"), vm("b", "10.0.0.2:7440", "north"), vm("w", "10.0.2.1:7440", "west"), vm("s", "10.0.1.1:7440", "south")})
+		var names []string
+		for _, o := range h.Elsewhere("g") {
+			names = append(names, o.(*peer.Client).Name())
+		}
+		So(names, ShouldResemble, []string{"s", "w"})
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
 		Peer: netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
 	}
-	n.homes = homes.New(self, local, n.log)
+	n.homes = homes.New(self, settings.Regions, local, n.log)
 	n.local = local
 	relayed.relays = n.homes
 	n.mirrors = mirrors{
