--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -220,12 +220,12 @@
 		w := q.queue[i]
 		expected := q.service.expected(w.kind)
 		delay := ahead / time.Duration(q.divisor())
-		ahead += expected
+		ahead += q.taken(w)
 		if !now.Add(delay + expected + q.service.deviation(w.kind)).After(w.deadline) {
 			continue
 		}
 		victim := q.lightest(i)
-		ahead -= q.service.expected(q.queue[victim].kind)
+		ahead -= q.taken(q.queue[victim])
 		out = append(out, removal{ticket: q.queue[victim], reason: outcome.TooLate})
 		q.removeAt(victim)
 		i--
@@ -286,11 +286,16 @@
 func (q *Queue) backlog() time.Duration {
 	sum := q.service.expected("")
 	for _, w := range q.queue {
-		sum += q.service.expected(w.kind)
+		sum += q.taken(w)
 	}
 	return sum
 }
 
+// taken is the time of a slot that w takes from those behind it.
+func (q *Queue) taken(w waiting) time.Duration {
+	return max(w.cost, q.service.expected(w.kind))
+}
+
 // divisor is how many requests are served at once.
 func (q *Queue) divisor() int {
 	return max(q.config.Slots, 1)
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -114,8 +114,8 @@
 	return w.route.Database + "/read"
 }
 
-// useful returns when the answer should be there: the objective, or half of it for
-// the first statement of a transaction, which others follow, but no later than the
+// useful returns when the answer should be there: the objective, or a share of it
+// for the first statement of a transaction, which others follow, but no later than the
 // statement's own time-out.
 func (w *work) useful() time.Time {
 	if w.route.Objective <= 0 {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -31,7 +31,7 @@
 	defaultTimeout = 2 * time.Second
 	// firstStatementShare is the share of the objective for the first statement of a
 	// transaction.
-	firstStatementShare = 0.5
+	firstStatementShare = 0.75
 	// queueShare is the share of the objective that a request may wait before it
 	// is offered to a target.
 	queueShare = 0.25
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -257,3 +257,57 @@
 		So(time.Since(began), ShouldBeLessThan, route.Objective/2)
 	})
 }
+
+// A primary whose replicas lag gets more than it can do. A transaction takes as many
+// turns of its slots as it has statements, and was let in before as many singles.
+func TestTransactionsGiveWay(t *testing.T) {
+	const (
+		aim        = 400 * time.Millisecond
+		statements = 7
+	)
+	route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: aim, Objective: aim, Priority: 2}
+	// transaction runs one of six writes and a commit.
+	transaction := func(e *Executor, got *tally, i int) {
+		u := e.Open(unit.Header{Session: uint64(i), Route: route, Begin: &query.Statement{Kind: query.Begin, Writes: true}})
+		defer u.Close()
+		began := time.Now()
+		for k := range statements {
+			st := query.Statement{ID: fmt.Sprint("tx", i, "-", k), Kind: query.Write, Writes: true}
+			if k == statements-1 {
+				st.Kind, st.Writes = query.Commit, false
+			}
+			r := u.Run(unit.Call{Statement: st})
+			if !r.Answer.OK() || k == statements-1 {
+				got.count(st.ID, r.Answer, time.Since(began), aim)
+				return
+			}
+		}
+	}
+	Convey("At 140% of the capacity the singles, which fit, are served, and transactions give way", t, func() {
+		d := &database{slots: make(chan struct{}, 3), work: 10 * time.Millisecond}
+		e := newPlay(t, d)
+		singles, transactions := &tally{other: map[string]int{}}, &tally{other: map[string]int{}}
+		var wg sync.WaitGroup
+		const n = 360
+		for i := range n {
+			time.Sleep(5555 * time.Microsecond) // 180 a second, 60% of the capacity
+			wg.Go(func() {
+				u := e.Open(unit.Header{Session: uint64(n + i), Route: route})
+				defer u.Close()
+				began := time.Now()
+				id := fmt.Sprint("single", i)
+				r := u.Run(unit.Call{Statement: query.Statement{ID: id, Kind: query.Write, Writes: true}})
+				singles.count(id, r.Answer, time.Since(began), aim)
+			})
+			if i%5 == 0 {
+				wg.Go(func() { transaction(e, transactions, i) })
+			}
+		}
+		wg.Wait()
+		// The best choice serves all singles, and transactions with what is left.
+		capacity := int(n * 5555 * time.Microsecond * 3 / d.work)
+		best := n + (capacity-n)/statements
+		So(singles.inTime+transactions.inTime, ShouldBeGreaterThan, best*8/10)
+		So(transactions.inTime, ShouldBeGreaterThan, 0)
+	})
+}
