--- a/cmd/laburnumrack/main.go
+++ b/cmd/laburnumrack/main.go
@@ -57,6 +57,7 @@
 type nodeCommand struct {
 	SettingsFile  string `arg:"--settings-file,env:LABURNUMRACK_BOOT" placeholder:"FILE" help:"settings file of the platform"`
 	MetricsListen string `arg:"--metrics-listen,env:LABURNUMRACK_METRICS_LISTEN" placeholder:"IP:PORT" help:"address of the metrics; none if empty"`
+	Log           string `arg:"--log,env:LABURNUMRACK_LOG" placeholder:"all|none" default:"all" help:"which log lines to write to standard output"`
 }
 
 type storyCommand struct {
@@ -127,7 +128,7 @@
 }
 
 func serveNode(c *nodeCommand) int {
-	n, err := node.New(node.Options{SettingsPath: c.SettingsFile, MetricsListen: c.MetricsListen, Out: os.Stdout})
+	n, err := node.New(node.Options{SettingsPath: c.SettingsFile, MetricsListen: c.MetricsListen, Log: c.Log, Out: os.Stdout})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFaults
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -63,6 +63,11 @@
 	return l
 }
 
+// Discard returns a log that writes nothing.
+func Discard() *Log {
+	return &Log{lines: make(chan []byte), logger: slog.New(slog.DiscardHandler)}
+}
+
 // queueWriter queues lines and drops those that find the queue full.
 type queueWriter struct{ log *Log }
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -66,6 +66,21 @@
 	})
 }
 
+func TestDiscard(t *testing.T) {
+	Convey("A log that is switched off writes nothing of any class", t, func() {
+		l := Discard()
+		l.Belief("started")
+		l.Failure("refused")
+		l.Retry("retry")
+		l.Success("served")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var out bytes.Buffer
+		So(l.Run(ctx, &out), ShouldBeNil)
+		So(out.Len(), ShouldEqual, 0)
+	})
+}
+
 func BenchmarkSampledLine(b *testing.B) {
 	l := New("vm", "a")
 	for b.Loop() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,9 +56,17 @@
 	SettingsPath string
 	// MetricsListen is the address of the metrics; empty for none.
 	MetricsListen string
-	Out           io.Writer
+	// Log is LogAll, which the empty string stands for, or LogNone.
+	Log string
+	Out io.Writer
 }
 
+// Values of Options.Log.
+const (
+	LogAll  = "all"
+	LogNone = "none"
+)
+
 // Node is one daemon.
 type Node struct {
 	options       Options
@@ -92,7 +100,15 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{options: o, settings: settings, log: eventlog.New("vm", settings.Name), store: platform.NewStore(settings.StoreAddress)}
+	log := eventlog.New("vm", settings.Name)
+	switch o.Log {
+	case "", LogAll:
+	case LogNone:
+		log = eventlog.Discard()
+	default:
+		return nil, fmt.Errorf("log: %.40q is neither %s nor %s", o.Log, LogAll, LogNone)
+	}
+	n := &Node{options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress)}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.duties = failover.NewDutyKeeper(n.store, settings.Name, uuid.NewString(), n.log)
 	promoter := &failover.Promoter{Duties: n.duties, Cloud: platform.NewCloud(settings.CloudAddress), Log: n.log}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -23,6 +23,8 @@
 	nodes []*Node
 	// version is that of the last configuration.
 	version int
+	// metricsListen is the address of the metrics of daemons that are started next.
+	metricsListen string
 }
 
 // Databases of the test configuration, all served by one group.
@@ -77,6 +79,9 @@
 	types := map[string]string{dbCurrent: "primary", dbBounded: "bounded_staleness", dbSession: "read_your_writes"}
 	routes := []any{}
 	for _, d := range databases {
+		if types[d] == "" {
+			types[d] = "primary"
+		}
 		routes = append(routes, map[string]any{
 			"name": "r-" + d, "host": d, "path_prefix": "/", "route_type": types[d], "timeout_ms": 2000,
 			"target_latency_ms": 4000, "priority": 1, "service": "grp", "max_staleness_ms": 1000,
@@ -111,7 +116,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		w.t.Fatal(err)
 	}
-	n, err := New(Options{SettingsPath: path, Out: io.Discard})
+	n, err := New(Options{SettingsPath: path, MetricsListen: w.metricsListen, Out: io.Discard})
 	if err != nil {
 		w.t.Fatal(err)
 	}
