A silent holder of the duty is followed without a grace, and its last act is dated by the store's revisions

Now: the holder is asked; if it does not answer, the grace is left out. A record has not changed since the daemon first saw the store at or above its revision, in any answer for any kind. Silence counts from the begin of the try. The time between the acts of two holders is kept (TestDuty).

--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -173,14 +173,14 @@
 	}
 }
 
-// lookAtListed asks the target that calls itself primary in the list, and reports
-// whether it leads. Every answer of a leader is confirmed by a replica, so a stale
+// lookAtListed asks the target that calls itself primary in the list, unless it has
+// just failed, and reports whether it leads. Every answer of a leader is confirmed by a replica, so a stale
 // list costs time only.
 func (m *monitor) lookAtListed(ctx context.Context) bool {
 	g := m.group
 	for _, t := range g.Targets() {
 		info := t.Info()
-		if !info.Primary || info.Draining {
+		if !info.Primary || info.Draining || t.State(boottime.Now()).FailingFor > 0 {
 			continue
 		}
 		status, err := t.Control(ctx, query.Statement{Kind: query.Status})
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -246,6 +246,7 @@
 		began := time.Now()
 		r.Group("g").Use()
 		So(<-promoter.reasons, ShouldEqual, leadership.PrimaryUnreachable)
-		So(time.Since(began), ShouldBeLessThan, leadership.DefaultPolicy.LeaderlessAfter)
+		// Two tries that time out show the silence.
+		So(time.Since(began), ShouldBeLessThan, 2*controlTimeout+200*time.Millisecond)
 	})
 }
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -39,7 +39,8 @@
 	latency  time.Duration     // guarded by mu; moving average of answers
 	applied  position.Position // guarded by mu; end of the log when last heard
 	lag      time.Duration     // guarded by mu; estimate of how far reads are behind
-	failing  time.Duration     // guarded by mu; since boot, first failure after the last answer
+	heardAt  time.Duration     // guarded by mu; since boot, last answer of any kind
+	failing  time.Duration     // guarded by mu; since boot, begin of the first try that failed after the last answer
 	refused  bool              // guarded by mu; the last failure was a refusal
 	running  int               // guarded by mu; statements sent and not answered
 	sentWait time.Duration     // guarded by mu; since boot, oldest send without any answer since
@@ -181,23 +182,28 @@
 }
 
 func (t *Target) heardLocked(now time.Duration) {
-	t.failing, t.sentWait = 0, now
+	t.heardAt, t.failing, t.sentWait = now, 0, now
 }
 
 func (t *Target) connectionEnded() {
-	t.noteFailure(true)
+	t.noteFailure(true, boottime.Now())
 }
 
 func (t *Target) connectFailed(err error) {
-	t.noteFailure(errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
+	t.tryFailed(err, boottime.Now())
 }
 
-func (t *Target) noteFailure(refused bool) {
-	now := boottime.Now()
+// tryFailed notes the failure of a try that began at the given time since boot: a
+// target that let it time out has been silent from then on.
+func (t *Target) tryFailed(err error, began time.Duration) {
+	t.noteFailure(errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET), began)
+}
+
+func (t *Target) noteFailure(refused bool, began time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.failing == 0 {
-		t.failing = now
+		t.failing = max(began, t.heardAt)
 	}
 	t.refused = refused
 }
@@ -223,10 +229,11 @@
 }
 
 func (t *Target) control(s query.Statement, deadline time.Time) (query.TargetStatus, error) {
+	began := boottime.Now()
 	link, verdict := t.Pool.AcquireControl(deadline)
 	if verdict != Acquired {
 		if verdict == NoRoom && t.State(boottime.Now()).FailingFor == 0 && !t.Pool.Full() {
-			t.connectFailed(errNoConnection)
+			t.tryFailed(errNoConnection, began)
 		}
 		return query.TargetStatus{}, errNoConnection
 	}
@@ -234,7 +241,7 @@
 	var refused *RefusedError
 	if err != nil && !errors.As(err, &refused) {
 		t.Pool.Discard(link)
-		t.connectFailed(err)
+		t.tryFailed(err, began)
 		return query.TargetStatus{}, err
 	}
 	t.heard()
--- a/internal/failover/duty.go
+++ b/internal/failover/duty.go
@@ -96,8 +96,11 @@
 	// holderGrace is how long a need is seen before the duty is taken over: a holder
 	// that lives has written the record by then.
 	holderGrace = 900 * time.Millisecond
-	// recheckAfter is the time between looks at a record that another daemon holds.
-	recheckAfter = 400 * time.Millisecond
+	// silenceCounts is how long it counts that the holder did not answer.
+	silenceCounts = time.Second
+	// recheckAfter is the age from which the record of another holder is read again: an
+	// older read allows no takeover.
+	recheckAfter = dutyFresh
 )
 
 // ErrOtherHolder says that another daemon holds the duty and is given time.
@@ -112,17 +115,23 @@
 	log     *eventlog.Log
 	// now returns the time since boot.
 	now func() time.Duration
+	// answers reports whether the daemon of a name answers; nil if that can't be told.
+	answers func(name string) bool
+
+	revisions revisions
 
 	holder atomic.Bool
+	// asking says that a holder is being asked.
+	asking atomic.Bool
 
 	mu sync.Mutex
 	// object and record are the state that was read or written last.
 	object store.Object // guarded by mu
 	record record       // guarded by mu
-	// sighted is the version that a read of the intents showed last, sightedSince when
-	// it was first shown.
-	sighted      store.Revision // guarded by mu
-	sightedSince time.Duration  // guarded by mu
+	// silent is the daemon that did not answer when it was asked last, silentAt when
+	// that was found, since boot.
+	silent   string        // guarded by mu
+	silentAt time.Duration // guarded by mu
 	// unchangedSince is when this version of the object was first seen, readAt when
 	// the object was read last, written when the last own write began. All are times
 	// since boot.
@@ -165,6 +174,7 @@
 			return Duty{}, err
 		}
 		if k.othersTurn(waited) {
+			k.askHolder()
 			return Duty{}, fmt.Errorf("%w: %s", ErrOtherHolder, k.record.Holder)
 		}
 	}
@@ -197,7 +207,38 @@
 	if k.record.Holder == "" || k.record.Holder == k.name {
 		return false
 	}
-	return waited < holderGrace || k.now()-k.unchangedSince < takeoverAfter || k.now()-k.readAt > dutyFresh
+	return !k.holderSilent() && waited < holderGrace || k.now()-k.unchangedSince < takeoverAfter || k.now()-k.readAt > dutyFresh
+}
+
+// holderSilent reports whether the holder was found not to answer a moment ago. It
+// saves the grace that a holder is given to serve the need; the time between the acts
+// of two holders is kept all the same.
+func (k *DutyKeeper) holderSilent() bool {
+	return k.silent != "" && k.silent == k.record.Holder && k.now()-k.silentAt < silenceCounts
+}
+
+// AskWith sets how a holder is asked for an answer. It must be called before the
+// keeper is used.
+func (k *DutyKeeper) AskWith(answers func(name string) bool) {
+	k.answers = answers
+}
+
+// askHolder finds out in the background whether the holder answers. The lock is held.
+func (k *DutyKeeper) askHolder() {
+	if k.answers == nil || !k.asking.CompareAndSwap(false, true) {
+		return
+	}
+	holder := k.record.Holder
+	go func() {
+		defer k.asking.Store(false)
+		if k.answers(holder) {
+			return
+		}
+		k.log.Belief("duty_holder_silent", "holder", holder)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.silent, k.silentAt = holder, k.now()
+	}()
 }
 
 // Prove returns nil if d is still the duty, as of less than dutyFresh ago.
@@ -228,14 +269,10 @@
 	return k.holder.Load()
 }
 
-// Sighted takes in the version of the record that a read of the intents showed, so
-// that a holder's long silence is known when the need arises.
-func (k *DutyKeeper) Sighted(v store.Revision) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if v != k.sighted {
-		k.sighted, k.sightedSince = v, k.now()
-	}
+// SawRevision notes that the store has reached a revision, so that a holder's long
+// silence is known when the need arises.
+func (k *DutyKeeper) SawRevision(v store.Revision) {
+	k.revisions.saw(v, k.now())
 }
 
 // Demand asks the holder to promote the group to term.
@@ -378,8 +415,8 @@
 	if o.Version != k.object.Version || k.unchangedSince == 0 {
 		k.unchangedSince = k.now()
 	}
-	if o.Version == k.sighted && k.sighted != 0 {
-		k.unchangedSince = min(k.unchangedSince, k.sightedSince)
+	if since, ok := k.revisions.since(o.Version); ok && o.Version != 0 {
+		k.unchangedSince = min(k.unchangedSince, since)
 	}
 	k.object, k.record = o, r
 	k.holder.Store(k.mine())
--- a/internal/failover/duty_test.go
+++ b/internal/failover/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,26 +55,50 @@
 }
 
 // clock is the time of all keepers of a test.
-type clock struct{ now time.Duration }
+type clock struct {
+	mu  sync.Mutex
+	now time.Duration // guarded by mu
+}
+
+// at returns the time; keepers ask for it in the background too.
+func (c *clock) at() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// pass lets time pass.
+func (c *clock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+}
 
 func (c *clock) keeper(m *memory, name string) *DutyKeeper {
 	k := NewDutyKeeper(m, name, name+"-process", eventlog.New())
-	k.now = func() time.Duration { return c.now }
+	k.now = c.at
 	return k
 }
 
 // waitFor acquires the duty again and again, as a monitor does, until it is had.
 func waitFor(c *clock, k *DutyKeeper, group string, term position.Term) (Duty, time.Duration) {
-	began := c.now
+	began := c.at()
 	for range 1000 {
-		if d, err := k.Acquire(context.Background(), group, term, c.now-began); err == nil {
-			return d, c.now - began
+		if d, err := k.Acquire(context.Background(), group, term, c.at()-began); err == nil {
+			return d, c.at() - began
 		}
-		c.now += 50 * time.Millisecond
+		c.pass(50 * time.Millisecond)
 	}
 	return Duty{}, 0
 }
 
+// awaitAsked waits until the holder has been asked.
+func awaitAsked(k *DutyKeeper) {
+	for k.asking.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestDuty(t *testing.T) {
 	ctx := context.Background()
 	Convey("With a store and two daemons", t, func() {
@@ -101,16 +126,57 @@
 			So(errors.Is(a.Prove(ctx, Duty{Holder: "a", Token: 1}), ErrOtherHolder) || !a.Holder(), ShouldBeTrue)
 		})
 		Convey("a holder that is known to have been quiet for long is followed after a short grace", func() {
-			b.Sighted(m.objects[dutyKey].Version)
-			c.now += 10 * time.Second
-			b.Sighted(m.objects[dutyKey].Version)
+			b.SawRevision(m.objects[dutyKey].Version)
+			c.pass(10 * time.Second)
+			b.SawRevision(m.objects[dutyKey].Version)
 			d, waited := waitFor(c, b, "g", 2)
 			So(d, ShouldResemble, Duty{Holder: "b", Token: 2})
 			So(waited, ShouldBeBetweenOrEqual, holderGrace, holderGrace+recheckAfter)
 		})
+		Convey("a holder that does not answer is followed without a grace, if its last act is long past", func() {
+			b.AskWith(func(string) bool { return false })
+			b.SawRevision(m.objects[dutyKey].Version)
+			c.pass(10 * time.Second)
+			b.SawRevision(m.objects[dutyKey].Version)
+			_, err := b.Acquire(ctx, "g", 2, 0)
+			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
+			awaitAsked(b)
+			d, err := b.Acquire(ctx, "g", 2, 50*time.Millisecond)
+			So(err, ShouldBeNil)
+			So(d, ShouldResemble, Duty{Holder: "b", Token: 2})
+		})
+		Convey("a holder that does not answer, but has just acted, keeps its turn", func() {
+			b.AskWith(func(string) bool { return false })
+			_, err := a.Acquire(ctx, "h", 2, 0)
+			So(err, ShouldBeNil)
+			_, err = b.Acquire(ctx, "g", 2, 0)
+			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
+			awaitAsked(b)
+			_, waited := waitFor(c, b, "g", 2)
+			So(waited+permit.Lease, ShouldBeGreaterThan, turnsApart+dutyFresh)
+		})
+		Convey("a holder that answers gets its grace", func() {
+			b.AskWith(func(string) bool { return true })
+			b.SawRevision(m.objects[dutyKey].Version)
+			c.pass(10 * time.Second)
+			b.SawRevision(m.objects[dutyKey].Version)
+			_, waited := waitFor(c, b, "g", 2)
+			So(waited, ShouldBeGreaterThanOrEqualTo, holderGrace)
+		})
+		Convey("a record that is older than what the store showed of other objects long ago is as old", func() {
+			b.AskWith(func(string) bool { return false })
+			b.SawRevision(m.objects[dutyKey].Version + 7)
+			c.pass(takeoverAfter)
+			_, err := b.Acquire(ctx, "g", 2, 0)
+			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
+			awaitAsked(b)
+			d, err := b.Acquire(ctx, "g", 2, 50*time.Millisecond)
+			So(err, ShouldBeNil)
+			So(d, ShouldResemble, Duty{Holder: "b", Token: 2})
+		})
 		Convey("a record that has changed since it was sighted starts the wait anew", func() {
-			b.Sighted(m.objects[dutyKey].Version)
-			c.now += 10 * time.Second
+			b.SawRevision(m.objects[dutyKey].Version)
+			c.pass(10 * time.Second)
 			_, err := a.Acquire(ctx, "h", 2, 0)
 			So(err, ShouldBeNil)
 			_, waited := waitFor(c, b, "g", 2)
@@ -120,18 +186,18 @@
 			for range 200 {
 				_, err := b.Acquire(ctx, "g", 2, time.Minute)
 				So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
-				if c.now%time.Second == 0 {
+				if c.at()%time.Second == 0 {
 					_, err := a.Acquire(ctx, "h", 2, time.Minute)
 					So(err, ShouldBeNil)
 				}
-				c.now += 100 * time.Millisecond
+				c.pass(100 * time.Millisecond)
 			}
 		})
 		Convey("a holder that was suspended since its write can't act", func() {
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldBeNil)
 			_, _ = b.Acquire(ctx, "g", 2, time.Minute)
-			c.now += 10 * time.Second
+			c.pass(10 * time.Second)
 			taken, _ := waitFor(c, b, "g", 2)
 			So(taken.Token, ShouldEqual, 2)
 			So(a.Prove(ctx, d), ShouldNotBeNil)
@@ -154,7 +220,7 @@
 			m.down = true
 			_, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldNotBeNil)
-			c.now += time.Minute
+			c.pass(time.Minute)
 			So(a.Prove(ctx, Duty{Holder: "a", Token: 1}), ShouldNotBeNil)
 		})
 		Convey("an intent is taken back by its holder only", func() {
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -19,9 +19,9 @@
 	fate map[string]unit.Fate
 	// cutOff makes it refuse all calls, as it reaches neither store nor replicas.
 	cutOff bool
-	calls []string
-	seen  []position.Position
-	open  int
+	calls  []string
+	seen   []position.Position
+	open   int
 }
 
 func (h *home) Open(header unit.Header) unit.Unit {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -96,6 +96,12 @@
 	return append(near, far...)
 }
 
+// Answers reports whether a VM answers. One that is not known counts as answering.
+func (h *Homes) Answers(name string) bool {
+	vm, ok := h.view.Load().Find(name)
+	return !ok || name == h.self.Name || h.client(vm).Answers()
+}
+
 // Relay returns the client of the relay to ask for objects, nil if this daemon is
 // the relay.
 func (h *Homes) Relay() *peer.Client {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -62,6 +62,8 @@
 	// replace is called with all objects, change with each that changed.
 	replace func([]store.Object)
 	change  func(store.Object)
+	// reached is called with the revision that the store has reached; nil for none.
+	reached func(store.Revision)
 }
 
 // run lists and watches until ctx ends.
@@ -72,6 +74,9 @@
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, from)
 		if err == nil {
+			if f.reached != nil {
+				f.reached(next)
+			}
 			if lostAt != 0 {
 				f.log.Belief("store_regained", "kind", f.kind, "lost_ms", (boottime.Now() - lostAt).Milliseconds(), "revision", next)
 			}
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -25,7 +25,7 @@
 		}
 	}
 	return &feed{
-		kind: platform.KindConfiguration, objects: n.store, relays: n.homes, mirror: n.mirrors[platform.KindConfiguration], wait: watchWait, log: n.log, change: apply,
+		kind: platform.KindConfiguration, objects: n.store, relays: n.homes, mirror: n.mirrors[platform.KindConfiguration], wait: watchWait, log: n.log, change: apply, reached: n.duties.SawRevision,
 		replace: func(objects []store.Object) {
 			for _, o := range objects {
 				apply(o)
@@ -50,7 +50,7 @@
 		return t, err == nil
 	}
 	return &feed{
-		kind: platform.KindTargets, objects: n.store, relays: n.homes, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log,
+		kind: platform.KindTargets, objects: n.store, relays: n.homes, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log, reached: n.duties.SawRevision,
 		replace: func(objects []store.Object) {
 			var targets []catalog.Target
 			for _, o := range objects {
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -23,7 +23,7 @@
 func (r *relayedIntents) ReadIntents(context.Context) (permit.Record, error) {
 	record, err := r.read()
 	if err == nil {
-		r.duties.Sighted(record.Version)
+		r.duties.SawRevision(record.Version)
 	}
 	return record, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,7 @@
 	}
 	n.homes = homes.New(self, settings.Regions, local, n.log)
 	n.local = local
+	n.duties.AskWith(n.homes.Answers)
 	relayed.relays = n.homes
 	n.mirrors = mirrors{
 		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), homes.KindVM: newMirror(slowWait),
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -112,6 +112,12 @@
 	return permit.Record{Intents: answer.Intents.Intents, Begun: begun - answer.Intents.Age, Version: answer.Intents.Version}, nil
 }
 
+// Answers reports whether the peer answers, whatever it knows.
+func (c *Client) Answers() bool {
+	_, err := c.Intents()
+	return err == nil || errors.Is(err, ErrNotCurrent)
+}
+
 // intentsLimit bounds a question for the intents; the relay may have to ask the
 // store.
 const intentsLimit = 400 * time.Millisecond
