--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -34,6 +34,9 @@
 	// failurePause is the time after a failed renewal in which no request waits for
 	// the next.
 	failurePause = 500 * time.Millisecond
+	// failureRetry is the time after a failed renewal before the next: answers go on
+	// to be asked about while the store is out.
+	failureRetry = 200 * time.Millisecond
 )
 
 // Record is what a read of the store showed. It never changes.
@@ -136,16 +139,23 @@
 	return Record{}, false
 }
 
-// renew starts a renewal unless one is running, and returns a channel that is
-// closed when it ends. It reports false if the last one has failed just now.
+// renew starts a renewal unless one is running or has failed just now, and returns a
+// channel that is closed when it ends. It reports false if nobody should wait for it.
 func (p *Permits) renew() (<-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	failedFor := time.Duration(0)
+	if p.failedAt != 0 {
+		failedFor = boottime.Now() - p.failedAt
+	}
 	if p.running == nil {
+		if p.failedAt != 0 && failedFor < failureRetry {
+			return nil, false
+		}
 		p.running = make(chan struct{})
 		go p.run(p.running)
 	}
-	return p.running, p.failedAt == 0 || boottime.Now()-p.failedAt > failurePause
+	return p.running, p.failedAt == 0 || failedFor > failurePause
 }
 
 func (p *Permits) run(done chan struct{}) {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -75,3 +75,26 @@
 		So(b.Begun, ShouldEqual, a.Begun)
 	})
 }
+
+// In an outage in which the store resets connections, every answer of a primary cost a
+// call: 420 in 4 s at eight daemons.
+func TestOutageIsNotHammered(t *testing.T) {
+	Convey("A store that refuses is asked a few times a second, and counts soon after its return", t, func() {
+		s := &source{}
+		s.down.Store(true)
+		p := New(s)
+		const outage = time.Second
+		began := time.Now()
+		for time.Since(began) < outage {
+			So(p.Check("g", 1), ShouldEqual, Expired)
+			time.Sleep(2 * time.Millisecond)
+		}
+		So(s.reads.Load(), ShouldBeLessThanOrEqualTo, int64(outage/failureRetry)+1)
+		s.down.Store(false)
+		began = time.Now()
+		for p.Check("g", 1) != Allowed {
+			time.Sleep(2 * time.Millisecond)
+		}
+		So(time.Since(began), ShouldBeLessThan, failureRetry+100*time.Millisecond)
+	})
+}
