--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -193,12 +193,33 @@
 	}
 }
 
+// shutOutCheck is the time between looks whether the primary has no room for this
+// daemon.
+const shutOutCheck = 20 * time.Millisecond
+
+// ShutOut reports whether the primary, or the target that calls itself so while no
+// leader is known, has no room for a connection of this daemon. Those of daemons that
+// lost power count for seconds; another daemon may have one.
+func (g *Group) ShutOut() bool {
+	if l := g.Leader(); l != nil {
+		return l.Target.Pool.Shut()
+	}
+	for _, t := range g.Targets() {
+		if info := t.Info(); info.Primary && !info.Draining && t.Pool.Shut() {
+			return true
+		}
+	}
+	return false
+}
+
 // WaitLeader waits until a leader other than not is known, at most until the given
-// time, and returns nil if none came.
+// time or until the daemon is shut out, and returns nil if none came.
 func (g *Group) WaitLeader(not *LeaderView, until time.Time) *LeaderView {
 	g.Suspect()
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
+	ticker := time.NewTicker(shutOutCheck)
+	defer ticker.Stop()
 	for {
 		g.mu.Lock()
 		changed := g.changed
@@ -208,6 +229,10 @@
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
+			if g.ShutOut() {
+				return nil
+			}
 		case <-timer.C:
 			return nil
 		}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -335,6 +335,14 @@
 	return time.Now().Before(p.fullUntil)
 }
 
+// Shut reports whether the target has refused connections for want of room a moment
+// ago and none is open.
+func (p *Pool) Shut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open == p.dialing && time.Now().Before(p.fullUntil)
+}
+
 func closeQuietly(c Conn) {
 	// Closing a connection that is given up can't be acted on.
 	_ = c.Close()
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -24,6 +24,9 @@
 				failed, reason = known, "primary_drained"
 			}
 			if w.group.WaitLeader(failed, w.queueUntil) == nil {
+				if w.group.ShutOut() {
+					reason, w.cutOff = "no_room", true
+				}
 				a := e.refuseWork(w, query.Busy, reason)
 				return nil, nil, &a
 			}
@@ -35,6 +38,7 @@
 			return l, link, nil
 		case backend.NoRoom:
 			w.group.Suspect()
+			w.cutOff = w.group.ShutOut()
 			a := e.refuseWork(w, query.Busy, "no_connection")
 			return nil, nil, &a
 		case backend.Crowded:
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -30,6 +30,8 @@
 	work time.Duration
 
 	dials, open atomic.Int64
+	// full makes it refuse connections for want of room.
+	full atomic.Bool
 	// received holds the ids of the statements that reached the target.
 	received sync.Map
 }
@@ -44,6 +46,9 @@
 
 func (d *database) Dial(context.Context, string, string, string) (backend.Conn, error) {
 	d.dials.Add(1)
+	if d.full.Load() {
+		return nil, &backend.RefusedError{Code: query.TooManyConnections}
+	}
 	d.open.Add(1)
 	return &connection{database: d}, nil
 }
@@ -311,3 +316,26 @@
 		So(transactions.inTime, ShouldBeGreaterThan, 0)
 	})
 }
+
+// After a loss of power the connections of before counted at the primaries for 1.5 s
+// more. Homes without one let their callers wait and refused them, while homes of other
+// failure domains had some.
+func TestShutOut(t *testing.T) {
+	route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: 2 * time.Second, Objective: 2 * time.Second}
+	write := unit.Call{Statement: query.Statement{ID: "id", Kind: query.Write, Writes: true}}
+	Convey("A home that the primary has no room for says so at once, and serves when it has", t, func() {
+		d := &database{slots: make(chan struct{}, 3), work: time.Millisecond}
+		d.full.Store(true)
+		e := newPlay(t, d)
+		u := e.Open(unit.Header{Route: route})
+		began := time.Now()
+		r := u.Run(write)
+		So(r.Answer.Code, ShouldEqual, query.Busy)
+		So(r.CutOff, ShouldBeTrue)
+		So(time.Since(began), ShouldBeLessThan, 100*time.Millisecond)
+		d.full.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		u = e.Open(unit.Header{Route: route})
+		So(u.Run(write).Answer.OK(), ShouldBeTrue)
+	})
+}
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -54,8 +54,9 @@
 type Reply struct {
 	Fate   Fate
 	Answer query.Answer
-	// CutOff says that the home reaches neither the store nor any replica of the group,
-	// so that it can't pass on what the primary answers. Another home may.
+	// CutOff says that the home can't serve the group, but another may: it reaches
+	// neither the store nor any replica, so that it can't pass on what the primary
+	// answers, or the primary has no room for its connections.
 	CutOff bool
 	// Committed is the end of the log after a commit of the unit; zero if it made
 	// none.
