--- a/internal/adapter/pgwire/config.go
+++ b/internal/adapter/pgwire/config.go
@@ -7,6 +7,7 @@
 package pgwire
 
 import (
+	"cmp"
 	"crypto/tls"
 	"fmt"
 	"time"
@@ -90,26 +91,12 @@
 
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	if l.Connections == 0 {
-		l.Connections = d.Connections
-	}
-	if l.MessageBytes == 0 {
-		l.MessageBytes = d.MessageBytes
-	}
-	if l.MemoryBytes == 0 {
-		l.MemoryBytes = d.MemoryBytes
-	}
-	if l.Statements == 0 {
-		l.Statements = d.Statements
-	}
-	if l.Startup == 0 {
-		l.Startup = d.Startup
-	}
-	if l.Write == 0 {
-		l.Write = d.Write
-	}
-	if l.CallerCheck == 0 {
-		l.CallerCheck = d.CallerCheck
-	}
+	l.Connections = cmp.Or(l.Connections, d.Connections)
+	l.MessageBytes = cmp.Or(l.MessageBytes, d.MessageBytes)
+	l.MemoryBytes = cmp.Or(l.MemoryBytes, d.MemoryBytes)
+	l.Statements = cmp.Or(l.Statements, d.Statements)
+	l.Startup = cmp.Or(l.Startup, d.Startup)
+	l.Write = cmp.Or(l.Write, d.Write)
+	l.CallerCheck = cmp.Or(l.CallerCheck, d.CallerCheck)
 	return l
 }
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -98,6 +98,19 @@
 	seen map[string]string
 }
 
+// names checks a list of names, which needs one at least and each only once.
+func (c *collector) names(field string, names []string, missing string) {
+	if len(names) == 0 {
+		c.add(field, "", missing)
+	}
+	seen := newUnique(c)
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		c.name(at, name)
+		seen.check(at, name, name)
+	}
+}
+
 func newUnique(c *collector) *unique {
 	return &unique{c: c, seen: map[string]string{}}
 }
@@ -118,15 +131,7 @@
 		// The value stays out of the message: it is a secret.
 		c.add("verifier", "(hidden)", "SCRAM-SHA-256$iterations:salt$storedkey:serverkey")
 	}
-	if len(k.Services) == 0 {
-		c.add("services", "", "at least one service")
-	}
-	seen := newUnique(c)
-	for i, s := range k.Services {
-		field := fmt.Sprintf("services[%d]", i)
-		c.name(field, s)
-		seen.check(field, s, s)
-	}
+	c.names("services", k.Services, "at least one service")
 	if k.Policy != "" {
 		c.name("policy", k.Policy)
 	}
@@ -175,15 +180,7 @@
 func (r Region) Validate() Faults {
 	c := &collector{object: r.Key()}
 	c.name("name", r.Name)
-	if len(r.FailureDomains) == 0 {
-		c.add("failure_domains", "", "at least one failure domain")
-	}
-	seen := newUnique(c)
-	for i, d := range r.FailureDomains {
-		field := fmt.Sprintf("failure_domains[%d]", i)
-		c.name(field, d)
-		seen.check(field, d, d)
-	}
+	c.names("failure_domains", r.FailureDomains, "at least one failure domain")
 	return c.faults
 }
 
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -31,19 +31,6 @@
 	}
 }
 
-// countingWriter tells whether a part of an answer was passed on.
-type countingWriter struct {
-	w io.Writer
-	n int64
-}
-
-// Write passes p on.
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n += int64(n)
-	return n, err
-}
-
 // Exchange runs one batch; the first one is tried again where that is safe.
 func (u *unit) Exchange(ctx context.Context, b work.Batch, sink io.Writer) work.Result {
 	var result work.Result
@@ -61,7 +48,7 @@
 func (u *unit) first(ctx context.Context, b work.Batch, sink io.Writer) work.Result {
 	key := u.key()
 	u.entry.firstTry(key)
-	counted := &countingWriter{w: sink}
+	counted := &work.CountingSink{Sink: sink}
 	route := u.initialRoute(b)
 	homes := u.homes(&route)
 	for number := 0; ; number++ {
@@ -74,7 +61,7 @@
 		if result.Outcome.OK() || staysOpen(result) || u.isCanceled() {
 			return result
 		}
-		attempt := u.attempt(result, number, b, counted.n > 0, len(homes)-1)
+		attempt := u.attempt(result, number, b, counted.Written > 0, len(homes)-1)
 		decision := u.entry.decide(attempt)
 		if !decision.Retry {
 			return result
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -156,9 +156,15 @@
 	if u != nil {
 		u.Close()
 	}
+	return s.settle(st, reply, writes, query.Busy, "no_home")
+}
+
+// settle answers the last statement of a unit. notRun and reason are the refusal of one
+// that no home took.
+func (s *Session) settle(st query.Statement, reply unit.Reply, writes bool, notRun query.Code, reason string) query.Answer {
 	switch reply.Fate {
 	case unit.NotRun:
-		return s.refuse(st, query.Busy, "no_home")
+		return s.refuse(st, notRun, reason)
 	case unit.Lost:
 		return s.unknown(st, writes)
 	}
@@ -271,15 +277,7 @@
 	}
 	reply := s.callInTransaction(st, arrived)
 	s.end()
-	switch reply.Fate {
-	case unit.NotRun:
-		return s.refuse(st, query.Aborted, "home_not_run")
-	case unit.Lost:
-		return s.unknown(st, true)
-	}
-	s.committed(reply.Committed)
-	reply.Answer.State = query.Idle
-	return reply.Answer
+	return s.settle(st, reply, true, query.Aborted, "home_not_run")
 }
 
 // committed notes the end of the log after a commit.
--- a/internal/home/judge.go
+++ b/internal/home/judge.go
@@ -60,7 +60,7 @@
 		return ended(outcome.Refuse(outcome.TransactionLost, rerunRetryAfter, "the transaction was rolled back with its connection: %v", err)), ""
 	case x.readOnly():
 		r := ended(outcome.Unclear(outcome.TargetLost, "the connection broke during a read: %v", err))
-		if l.replica && !inside && x.sink.written == 0 {
+		if l.replica && !inside && x.sink.Written == 0 {
 			return r, retryReplicaLost
 		}
 		return r, ""
@@ -103,7 +103,7 @@
 
 // judgeReplica decides on the whole answer of a replica.
 func (x *run) judgeReplica(l *lease, reply target.Reply, started, ends time.Time) (work.Result, retryReason) {
-	if reply.SQLState == target.SQLStateReadOnly && x.sink.written == 0 {
+	if reply.SQLState == target.SQLStateReadOnly && x.sink.Written == 0 {
 		x.toPrimary = true
 		return ended(outcome.Refuse(outcome.NotConfirmed, rerunRetryAfter, "the replica refused a write")), retryReplicaWrite
 	}
@@ -124,7 +124,7 @@
 		return x.done(l, reply.After.Applied), ""
 	}
 	refused := ended(outcome.Refuse(outcome.NotConfirmed, rerunRetryAfter, "the replica left its term during the read"))
-	if x.sink.written > 0 {
+	if x.sink.Written > 0 {
 		return refused, ""
 	}
 	return refused, retryReplicaInvalid
@@ -161,7 +161,7 @@
 		return ended(outcome.Refuse(outcome.TransactionLost, rerunRetryAfter, "the primary was replaced during the transaction")), ""
 	}
 	r := ended(outcome.Refuse(outcome.PrimaryChanged, rerunRetryAfter, "the instance is no longer primary"))
-	if x.sink.written > 0 {
+	if x.sink.Written > 0 {
 		return r, ""
 	}
 	return r, retryMoved
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -27,7 +27,7 @@
 	unit  *unit
 	ctx   context.Context
 	batch work.Batch
-	sink  *meteredSink
+	sink  *work.CountingSink
 	// toPrimary sends a read to the primary after a replica refused it.
 	toPrimary bool
 	// opening says that this is the first batch of its unit, so that it may be
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -63,7 +63,7 @@
 // settledDone answers a request that took effect although its answer was lost.
 func (x *run) settledDone(l *lease, found record) work.Result {
 	x.unit.home.counters.settledDone.Inc()
-	if x.sink.written > 0 {
+	if x.sink.Written > 0 {
 		return ended(outcome.Unclear(outcome.RequestUnsettled, "the request took effect, but its answer was cut short"))
 	}
 	x.unit.held = x.unit.held[:0]
--- a/internal/home/unit.go
+++ b/internal/home/unit.go
@@ -71,7 +71,7 @@
 
 // Exchange runs one batch; see work.Unit.
 func (u *unit) Exchange(ctx context.Context, b work.Batch, sink io.Writer) work.Result {
-	r := u.exchange(ctx, b, &meteredSink{sink: sink})
+	r := u.exchange(ctx, b, &work.CountingSink{Sink: sink})
 	// A unit that goes elsewhere is counted by the entry, which sends it there.
 	if !r.Outcome.OK() && r.Outcome.Reason != outcome.Elsewhere {
 		u.home.counters.count(r.Outcome)
@@ -80,7 +80,7 @@
 	return r
 }
 
-func (u *unit) exchange(ctx context.Context, b work.Batch, sink *meteredSink) work.Result {
+func (u *unit) exchange(ctx context.Context, b work.Batch, sink *work.CountingSink) work.Result {
 	if o := u.begin(); !o.OK() {
 		return ended(o)
 	}
@@ -224,16 +224,3 @@
 		l.giveBack()
 	}
 }
-
-// meteredSink counts what was written to a sink.
-type meteredSink struct {
-	sink    io.Writer
-	written int64
-}
-
-// Write passes p on.
-func (s *meteredSink) Write(p []byte) (int, error) {
-	n, err := s.sink.Write(p)
-	s.written += int64(n)
-	return n, err
-}
