--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -45,8 +45,16 @@
 
 	mu      sync.Mutex
 	tracker *fleet.Tracker          // guarded by mu
-	listed  map[string]store.VM     // guarded by mu
+	listed  map[string]listedVM     // guarded by mu
 	clients map[string]*peer.Client // guarded by mu; by address
+	// removed says that this daemon's registration was removed.
+	removed chan struct{}
+}
+
+// listedVM is a registration with the version of its object.
+type listedVM struct {
+	vm      store.VM
+	version store.Revision
 }
 
 // New returns the homes as seen by the daemon self, which runs units with local.
@@ -54,7 +62,7 @@
 func New(self fleet.VM, regions map[string]string, local unit.Opener, log *eventlog.Log) *Homes {
 	h := &Homes{
 		self: self, regions: regions, local: local, log: log, tracker: fleet.NewTracker(self, nil),
-		listed: map[string]store.VM{}, clients: map[string]*peer.Client{},
+		listed: map[string]listedVM{}, clients: map[string]*peer.Client{}, removed: make(chan struct{}, 1),
 	}
 	h.publish()
 	return h
@@ -196,10 +204,14 @@
 func (h *Homes) Replace(objects []store.Object) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	_, before := h.listed[h.self.Name]
 	clear(h.listed)
 	for _, o := range objects {
 		h.put(o)
 	}
+	if _, still := h.listed[h.self.Name]; before && !still {
+		h.noteRemoved(h.self.Name)
+	}
 	h.list()
 }
 
@@ -209,12 +221,24 @@
 	defer h.mu.Unlock()
 	if o.Deleted {
 		delete(h.listed, o.Name)
+		h.noteRemoved(o.Name)
 	} else {
 		h.put(o)
 	}
 	h.list()
 }
 
+// noteRemoved takes in that a registration was removed.
+func (h *Homes) noteRemoved(name string) {
+	if name != h.self.Name {
+		return
+	}
+	select {
+	case h.removed <- struct{}{}:
+	default:
+	}
+}
+
 func (h *Homes) put(o store.Object) {
 	var r registration
 	if err := json.Unmarshal(o.Value, &r); err != nil {
@@ -225,13 +249,14 @@
 		h.log.Belief("vm_entry_ignored", "entry", o.Name, "error", err.Error())
 		return
 	}
-	h.listed[o.Name] = store.VM{Name: o.Name, Address: r.Address, FailureDomain: r.FailureDomain, State: store.VMLive}
+	vm := store.VM{Name: o.Name, Address: r.Address, FailureDomain: r.FailureDomain, State: store.VMLive}
+	h.listed[o.Name] = listedVM{vm: vm, version: o.Version}
 }
 
 func (h *Homes) list() {
 	vms := make([]store.VM, 0, len(h.listed))
-	for _, vm := range h.listed {
-		vms = append(vms, vm)
+	for _, r := range h.listed {
+		vms = append(vms, r.vm)
 	}
 	h.tracker.List(time.Now(), vms)
 	h.publish()
@@ -241,7 +266,7 @@
 // dropClients closes the connections to VMs that are not listed any more.
 func (h *Homes) dropClients() {
 	for address, c := range h.clients {
-		if vm, ok := h.listed[c.Name()]; !ok || vm.Address != address {
+		if r, ok := h.listed[c.Name()]; !ok || r.vm.Address != address {
 			delete(h.clients, address)
 			go c.Close()
 		}
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -96,13 +98,27 @@
 
 // objects is a store of one object.
 type objects struct {
-	stored store.Object
-	puts   int
+	mu     sync.Mutex
+	stored store.Object // guarded by mu
+	puts   int          // guarded by mu
 }
 
-func (o *objects) Get(context.Context, store.Key) (store.Object, error) { return o.stored, nil }
+// count returns the number of writes.
+func (o *objects) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.puts
+}
+
+func (o *objects) Get(context.Context, store.Key) (store.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stored, nil
+}
 
 func (o *objects) Put(_ context.Context, n store.Object) (store.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.puts++
 	if n.Version != o.stored.Version {
 		return store.Object{}, &store.ConflictError{Key: n.Key, Current: o.stored}
@@ -126,6 +142,46 @@
 	})
 }
 
+func TestRemovedRegistration(t *testing.T) {
+	Convey("A daemon whose registration is removed registers again", t, func() {
+		s := &objects{}
+		h := newHomes("a")
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			h.KeepRegistered(ctx, s)
+			close(ended)
+		}()
+		gone := vm("a", "10.0.0.1:7440", "north")
+		gone.Deleted = true
+		for _, remove := range []func(){func() { h.Change(gone) }, func() {
+			h.Replace([]store.Object{vm("a", "10.0.0.1:7440", "north")})
+			h.Replace(nil)
+		}} {
+			before := s.count()
+			remove()
+			for s.count() == before {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		cancel()
+		<-ended
+		So(s.count(), ShouldBeGreaterThanOrEqualTo, 2)
+	})
+}
+
+func TestAbsences(t *testing.T) {
+	Convey("A VM that is silent at every look for long enough counts as gone, one that answered in between does not", t, func() {
+		a := absences{since: map[string]time.Duration{}}
+		for at := time.Duration(0); at < forgetAfter; at += forgetInterval {
+			So(a.look("dark", false, at), ShouldBeFalse)
+			So(a.look("flapping", at == 5*forgetInterval, at), ShouldBeFalse)
+		}
+		So(a.look("dark", false, forgetAfter), ShouldBeTrue)
+		So(a.look("flapping", false, forgetAfter), ShouldBeFalse)
+	})
+}
+
 func TestElsewhere(t *testing.T) {
 	Convey("A home of each other failure domain, the own region first, and none of the own domain", t, func() {
 		h := newHomes("a")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,8 @@
 	n.loops.Go(n.serveDuty)
 	n.loops.Go(func() { n.vmFeed().run(n.ctx) })
 	n.loops.Go(func() { n.homes.Run(n.ctx) })
-	n.loops.Go(func() { n.homes.Register(n.ctx, n.store) })
+	n.loops.Go(func() { n.homes.KeepRegistered(n.ctx, n.store) })
+	n.loops.Go(func() { n.homes.Forget(n.ctx, n.store) })
 	n.loops.Go(func() { n.peers.Serve(n.peerAt) })
 	n.loops.Go(n.reloadOnSignal)
 	n.probes = &http.Server{Handler: platform.ReadyHandler(n.Ready), ReadHeaderTimeout: time.Second}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -189,6 +189,8 @@
 		return http.StatusNotFound, map[string]string{"error": "not found"}
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
 		return s.write(r.Method, kind, name, body)
+	case r.Method == http.MethodDelete:
+		return s.remove(kind, name, r.URL.Query().Get("revision"))
 	default:
 		return http.StatusMethodNotAllowed, nil
 	}
@@ -219,6 +221,21 @@
 	return http.StatusOK, s.put(kind, name, w.Spec).wire()
 }
 
+// remove removes an object if it has the revision, where one is named.
+func (s *Store) remove(kind, name, revision string) (int, any) {
+	o := s.objects[kind+"/"+name]
+	switch {
+	case o == nil || o.deleted:
+		return http.StatusNotFound, map[string]string{"error": "not found"}
+	case revision != "" && revision != strconv.FormatUint(o.changed, 10):
+		return http.StatusConflict, o.wire()
+	}
+	s.revision++
+	o.deleted, o.changed = true, s.revision
+	s.wake()
+	return http.StatusOK, o.wire()
+}
+
 // pageSize is small, so that tests meet a second page.
 const pageSize = 5
 
