Followers ask a store that fails seldom, as their relay does so already

Now: the first try of a follower is made at once, as before (the store may turn the relay alone away); after a failed one it waits 0.3 s, doubled up to 2 s, and 1 s for the intents. A daemon that starts is not held back.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -35,6 +36,11 @@
 	// gatherPause is the time between an answer and the next watch, so that changes
 	// in quick succession cost one call.
 	gatherPause = 100 * time.Millisecond
+	// firstOwnPause and maxOwnPause bound the pause of a follower between calls of its
+	// own to a store that fails. Its relay asks more often; the follower's calls serve
+	// for the case that the store turns the relay alone away.
+	firstOwnPause = 300 * time.Millisecond
+	maxOwnPause   = 2 * time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -59,6 +65,9 @@
 	wait time.Duration
 	// source is whom the feed followed last.
 	source string
+	// ownPause is the last pause after a failed call of a follower to the store, ownAt
+	// when the next may be made, since boot.
+	ownPause, ownAt time.Duration
 	// replace is called with all objects, change with each that changed.
 	replace func([]store.Object)
 	change  func(store.Object)
@@ -68,9 +77,13 @@
 
 // run lists and watches until ctx ends.
 func (f *feed) run(ctx context.Context) {
+	f.runFrom(ctx, 0)
+}
+
+// runFrom goes on from a revision until ctx ends; 0 lists first.
+func (f *feed) runFrom(ctx context.Context, from store.Revision) {
 	backoff := firstBackoff
 	lostAt := time.Duration(0)
-	var from store.Revision
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, from)
 		if err == nil {
@@ -114,7 +127,22 @@
 			f.take(ctx, answer.Whole, answer.Page)
 			return max(answer.Page.Revision, from), nil
 		}
+		if from != 0 && boottime.Now() < f.ownAt {
+			return from, fmt.Errorf("%w: %w", errStoreSilent, err)
+		}
 	}
+	next, err := f.ask(ctx, from)
+	if err != nil && relay != nil {
+		f.ownPause = min(max(2*f.ownPause, firstOwnPause), maxOwnPause)
+		f.ownAt = boottime.Now() + f.ownPause
+	} else {
+		f.ownPause, f.ownAt = 0, 0
+	}
+	return next, err
+}
+
+// ask lists or watches at the store.
+func (f *feed) ask(ctx context.Context, from store.Revision) (store.Revision, error) {
 	began := boottime.Now()
 	if from == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
+	"time"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/failover"
+	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/permit"
 )
 
@@ -14,8 +18,15 @@
 	relays Relays
 	direct *permit.Permits
 	duties *failover.DutyKeeper
+	// failedAt is when a follower's own read failed last, since boot; zero after one
+	// that did not.
+	failedAt atomic.Int64
 }
 
+// ownIntentsPause is the time after a failed read of a follower before its next: its
+// relay, which has no answer either, asks the store more often.
+const ownIntentsPause = time.Second
+
 // errStoreSilent says that neither relay nor store answered.
 var errStoreSilent = errors.New("the store does not answer")
 
@@ -30,13 +41,19 @@
 
 func (r *relayedIntents) read() (permit.Record, error) {
 	if relay := r.relays.Relay(); relay != nil {
-		if record, err := relay.Intents(); err == nil {
+		record, err := relay.Intents()
+		if err == nil {
 			return record, nil
 		}
+		if failed := r.failedAt.Load(); failed != 0 && errors.Is(err, peer.ErrNotCurrent) && boottime.Now()-time.Duration(failed) < ownIntentsPause {
+			return permit.Record{}, errStoreSilent
+		}
 	}
 	record, ok := r.direct.Fresh()
 	if !ok {
+		r.failedAt.Store(int64(boottime.Now()))
 		return permit.Record{}, errStoreSilent
 	}
+	r.failedAt.Store(0)
 	return record, nil
 }
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
+	"github.com/laburnumrack/laburnumrack/internal/permit"
 	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
@@ -94,6 +96,69 @@
 	return page, nil
 }
 
+// refusing is a store that fails every call at once.
+type refusing struct{ calls atomic.Int64 }
+
+func (r *refusing) List(context.Context, store.Kind) (store.Page, error) {
+	r.calls.Add(1)
+	return store.Page{}, store.ErrUnavailable
+}
+
+func (r *refusing) Watch(context.Context, store.Kind, store.Revision, time.Duration) (store.Page, error) {
+	r.calls.Add(1)
+	return store.Page{}, store.ErrUnavailable
+}
+
+// In an outage of the store each of 89 daemons asked it more than twice a second for
+// each kind, though its relay did so already.
+func TestFollowersInAnOutage(t *testing.T) {
+	Convey("Followers whose relay has lost the store ask it seldom themselves, and the relay often", t, func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		lost := newMirror(time.Second)
+		go (&peer.Server{Name: "relay", Objects: mirrors{"things": lost}}).Serve(l)
+		relays := &follows{peer.NewClient("follower", "relay", l.Addr().String(), silent{})}
+		defer relays.client.Close()
+		calls := func(r Relays) int64 {
+			s := &refusing{}
+			f := &feed{kind: "things", relays: r, mirror: newMirror(time.Second), wait: time.Second, log: eventlog.New(), objects: s,
+				replace: func([]store.Object) {}, change: func(store.Object) {}}
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			f.runFrom(ctx, 50)
+			return s.calls.Load()
+		}
+		So(calls(relays), ShouldBeLessThanOrEqualTo, 4)
+		So(calls(&follows{}), ShouldBeGreaterThan, 6)
+	})
+}
+
+// ReadIntents fails as the other calls do.
+func (r *refusing) ReadIntents(context.Context) (permit.Record, error) {
+	r.calls.Add(1)
+	return permit.Record{}, store.ErrUnavailable
+}
+
+func TestIntentsInAnOutage(t *testing.T) {
+	Convey("A follower whose relay has no intents asks the store for them once a second", t, func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		go (&peer.Server{Name: "relay"}).Serve(l)
+		relays := &follows{peer.NewClient("follower", "relay", l.Addr().String(), silent{})}
+		defer relays.client.Close()
+		s := &refusing{}
+		intents := &relayedIntents{relays: relays, direct: permit.New(s)}
+		const outage = 2500 * time.Millisecond
+		for began := time.Now(); time.Since(began) < outage; time.Sleep(10 * time.Millisecond) {
+			_, err := intents.ReadIntents(context.Background())
+			So(err, ShouldNotBeNil)
+		}
+		So(s.calls.Load(), ShouldBeLessThanOrEqualTo, int64(outage/ownIntentsPause)+1)
+	})
+}
+
 // follows is a relay that can be taken away.
 type follows struct{ client *peer.Client }
 
