--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -250,3 +250,22 @@
 		So(time.Since(began), ShouldBeLessThan, 2*controlTimeout+200*time.Millisecond)
 	})
 }
+
+// While both replicas of a group lagged, each read was sent to both before it went to
+// the primary: 23,000 of 87,000 statements in a day were answered that the log lacks the
+// position.
+func TestLacks(t *testing.T) {
+	Convey("A target that lacked a position lacks those of the same age and younger ones for a moment", t, func() {
+		target := NewTarget(catalog.Target{ID: "i-1"}, nowhere{})
+		now := boottime.Now()
+		So(target.Lacks(time.Second, now), ShouldBeFalse)
+		target.Lagged(time.Second)
+		now = boottime.Now()
+		So(target.Lacks(time.Second, now), ShouldBeTrue)
+		So(target.Lacks(500*time.Millisecond, now), ShouldBeTrue)
+		So(target.Lacks(1100*time.Millisecond, now), ShouldBeFalse)
+		So(target.Lacks(time.Second, now+lackCounts), ShouldBeFalse)
+		target.CaughtUp(900 * time.Millisecond)
+		So(target.Lacks(500*time.Millisecond, now), ShouldBeFalse)
+	})
+}
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -39,6 +39,8 @@
 	latency  time.Duration     // guarded by mu; moving average of answers
 	applied  position.Position // guarded by mu; end of the log when last heard
 	lag      time.Duration     // guarded by mu; estimate of how far reads are behind
+	lackedAt time.Duration     // guarded by mu; since boot, when a position was lacked last
+	lacked   time.Duration     // guarded by mu; age of that position
 	heardAt  time.Duration     // guarded by mu; since boot, last answer of any kind
 	failing  time.Duration     // guarded by mu; since boot, begin of the first try that failed after the last answer
 	refused  bool              // guarded by mu; the last failure was a refusal
@@ -163,12 +165,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lag = max(t.lag, age)
+	t.lackedAt, t.lacked = boottime.Now(), age
+}
+
+// lackCounts is how long it counts that a target lacked a position. It is asked again
+// after that, as a replica catches up.
+const lackCounts = 100 * time.Millisecond
+
+// Lacks reports whether the target has just lacked a position of the given age or an
+// older one: it lacks this one too, then.
+func (t *Target) Lacks(age, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lackedAt > 0 && now-t.lackedAt < lackCounts && age <= t.lacked
 }
 
 // CaughtUp notes that the target held a position of the given age.
 func (t *Target) CaughtUp(age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if age <= t.lacked {
+		t.lackedAt = 0
+	}
 	if age < t.lag {
 		t.lag = time.Duration(lagDecay*float64(t.lag)) + time.Duration((1-lagDecay)*float64(age))
 	}
--- a/internal/executor/placement.go
+++ b/internal/executor/placement.go
@@ -27,6 +27,8 @@
 	SilentFor  time.Duration
 	Applied    position.Position
 	Lag        time.Duration
+	// Behind says that the target has just lacked a position as old as the need's.
+	Behind bool
 }
 
 // Need is what a read needs of a log.
@@ -57,7 +59,7 @@
 )
 
 // Place orders the targets for a read, the cheapest first, and leaves out those
-// that take no new work.
+// that take no new work or have just been found too far behind.
 func Place(candidates []Candidate, need Need) []int {
 	type scored struct {
 		index int
@@ -65,7 +67,7 @@
 	}
 	var order []scored
 	for _, c := range candidates {
-		if !c.Draining {
+		if !c.Draining && !c.Behind {
 			order = append(order, scored{c.Index, costOf(c, need)})
 		}
 	}
--- a/internal/executor/placement_test.go
+++ b/internal/executor/placement_test.go
@@ -25,6 +25,7 @@
 		want       []int
 	}{
 		{"the own failure domain first, the other region last", []Candidate{far, near, local}, need, []int{0, 1, 2}},
+		{"a target that has just lacked as old a position is left out", []Candidate{with(local, func(c *Candidate) { c.Behind = true }), with(near, func(c *Candidate) { c.Wait = time.Second })}, need, []int{1}},
 		{"a draining target gets nothing", []Candidate{with(local, func(c *Candidate) { c.Draining = true }), near}, need, []int{1}},
 		{"a slow target gives way within the region", []Candidate{with(local, func(c *Candidate) { c.Latency = 200 * time.Millisecond }), near}, need, []int{1, 0}},
 		{"a crowded target gives way", []Candidate{with(local, func(c *Candidate) { c.Wait = 100 * time.Millisecond }), near}, need, []int{1, 0}},
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -145,7 +145,7 @@
 			Index: i, Leader: leader != nil && leader.Target == t, Draining: info.Draining,
 			Distance: w.group.Place.Distance(info.FailureDomain), Slots: info.Slots, Running: state.Running, Wait: t.Gate.Expected(),
 			Latency: state.Latency, Cold: info.ColdLeft > 0, FailingFor: state.FailingFor, SilentFor: state.SilentFor,
-			Applied: state.Applied, Lag: state.Lag,
+			Applied: state.Applied, Lag: state.Lag, Behind: (leader == nil || leader.Target != t) && t.Lacks(need.Age, now),
 		}
 	}
 	var out []*backend.Target
