--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -174,8 +174,8 @@
 }
 
 // lookAtListed asks the target that calls itself primary in the list, unless it has
-// just failed, and reports whether it leads. Every answer of a leader is confirmed by a replica, so a stale
-// list costs time only.
+// just failed, and reports whether it leads. Every answer of a leader is confirmed, so
+// a stale list costs time only.
 func (m *monitor) lookAtListed(ctx context.Context) bool {
 	g := m.group
 	for _, t := range g.Targets() {
--- a/internal/homes/absence.go
+++ b/internal/homes/absence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/peer"
@@ -103,9 +102,6 @@
 	return c.Answers()
 }
 
-// errDeregistered says that this daemon's registration was removed.
-var errDeregistered = fmt.Errorf("registration was removed")
-
 // KeepRegistered registers this daemon, and again whenever its registration is found
 // removed, until ctx ends.
 func (h *Homes) KeepRegistered(ctx context.Context, objects Objects) {
@@ -114,7 +110,7 @@
 		select {
 		case <-ctx.Done():
 		case <-h.removed:
-			h.log.Belief("registration_lost", "error", errDeregistered.Error())
+			h.log.Belief("registration_lost")
 		}
 	}
 }
