--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -150,6 +150,15 @@
 		target.SetInfo(ready)
 		So(target.Drained(now+5500*time.Millisecond, bound), ShouldBeFalse)
 	})
+	Convey("Of a short drain it takes work for the larger part", t, func() {
+		ready := info
+		ready.Draining = false
+		target := NewTarget(ready, nowhere{})
+		target.SetInfo(info)
+		now := boottime.Now()
+		So(target.Drained(now+900*time.Millisecond, 1500*time.Millisecond), ShouldBeFalse)
+		So(target.Drained(now+1100*time.Millisecond, 1500*time.Millisecond), ShouldBeTrue)
+	})
 	Convey("A target that was found draining may have drained for long", t, func() {
 		So(NewTarget(info, nowhere{}).Drained(boottime.Now(), bound), ShouldBeTrue)
 	})
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -86,15 +86,19 @@
 const unknownSince = -1
 
 // drainMargin is how long before the end of its drain a target takes no more work:
-// the watch may tell of it late, and a request may wait for a connection.
-const drainMargin = 2 * time.Second
+// the watch may tell of it late, and a request may wait for a connection. Of a short
+// drain it is no more than the part that drainMarginDivisor gives.
+const (
+	drainMargin        = 2 * time.Second
+	drainMarginDivisor = 3
+)
 
 // Drained reports whether the target has been draining for so long that it must not
 // get new work. bound is the time after which the platform allows none. A target that
 // was found draining may have drained for any time.
 func (t *Target) Drained(now, bound time.Duration) bool {
 	since := t.drainingSince.Load()
-	return since != 0 && (since == unknownSince || now-time.Duration(since) > bound-drainMargin)
+	return since != 0 && (since == unknownSince || now-time.Duration(since) > bound-min(drainMargin, bound/drainMarginDivisor))
 }
 
 // State is a snapshot of what is known of a target.
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -118,6 +118,7 @@
 	if relay != nil {
 		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from, Wait: f.wait})
 		if err == nil {
+			f.ownPause, f.ownAt = 0, 0
 			// This daemon may be the next relay: its copy has to be whole then.
 			if answer.Whole {
 				f.mirror.replace(fromRelay, answer.Page)
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -189,8 +189,11 @@
 			objects: &scripted{pages: []store.Page{{Revision: 60, Objects: []store.Object{thing("b", 60)}}}},
 			replace: func([]store.Object) {}, change: func(store.Object) {},
 		}
+		f.ownPause, f.ownAt = maxOwnPause, boottime.Now()+maxOwnPause
 		from, err := f.step(context.Background(), 0)
 		So(err, ShouldBeNil)
+		// A relay that answers ends the pause after an outage.
+		So(f.ownPause+f.ownAt, ShouldEqual, 0)
 		So(from, ShouldEqual, store.Revision(50))
 		ended, cancel := context.WithCancel(context.Background())
 		cancel()
