Tell the loss of a peer before its calls fail

Cause of TestLostPeers failing once in the whole script (loss counted 0 after the call had ended): the connection failed its calls first and told the observer then. In the product a statement that is run elsewhere could choose the lost peer once more. Ruled out: load; the order is in the code. Test: a case of TestLostPeers with an observer that takes its time (failed each time before), 30 runs of the whole test under the race detector after.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -122,7 +122,7 @@
 	c.conn = nil
 	c.mu.Unlock()
 	if conn != nil {
-		conn.end()
+		conn.end(nil)
 	}
 }
 
@@ -131,9 +131,7 @@
 	for {
 		var r response
 		if err := c.wire.read(&r); err != nil {
-			if c.end() {
-				c.client.observer.Lost(c.client.name, err)
-			}
+			c.end(err)
 			return
 		}
 		c.heard.Store(int64(boottime.Now()))
@@ -166,9 +164,7 @@
 			time.Sleep(pingAfter / 2)
 			silence := boottime.Now() - time.Duration(c.heard.Load())
 			if silence > lostAfter {
-				if c.end() {
-					c.client.observer.Lost(c.client.name, errLost)
-				}
+				c.end(errLost)
 				return
 			}
 			if silence > pingAfter {
@@ -190,13 +186,14 @@
 	return c.lost
 }
 
-// end closes the connection and fails the calls that are out. It reports whether
-// it was open.
-func (c *clientConn) end() bool {
+// end closes the connection, if it is open, and fails the calls that are out. A loss
+// is told to the observer first, so that whoever runs a failed call elsewhere does not
+// choose this peer again; nil stands for a close that is none.
+func (c *clientConn) end(loss error) {
 	c.mu.Lock()
 	if c.lost {
 		c.mu.Unlock()
-		return false
+		return
 	}
 	c.lost = true
 	calls := c.calls
@@ -205,10 +202,12 @@
 	close(c.done)
 	// The connection is given up; its close can't be acted on.
 	_ = c.wire.conn.Close()
+	if loss != nil {
+		c.client.observer.Lost(c.client.name, loss)
+	}
 	for _, answer := range calls {
 		close(answer)
 	}
-	return true
 }
 
 // exchange sends a frame and waits for the answer with its unit's id, at most for
@@ -230,9 +229,7 @@
 	default:
 	}
 	if err := c.wire.write(r); err != nil {
-		if c.end() {
-			c.client.observer.Lost(c.client.name, err)
-		}
+		c.end(err)
 		return response{}, true, err
 	}
 	timer := time.NewTimer(limit)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -138,6 +138,14 @@
 	})
 }
 
+// slowWatcher takes its time to take in a loss.
+type slowWatcher struct{ watcher }
+
+func (w *slowWatcher) Lost(name string, err error) {
+	time.Sleep(50 * time.Millisecond)
+	w.watcher.Lost(name, err)
+}
+
 func TestLostPeers(t *testing.T) {
 	Convey("A call to nobody is not run", t, func() {
 		w := &watcher{}
@@ -177,6 +185,30 @@
 		lost, _ := w.counts()
 		So(lost, ShouldEqual, 1)
 	})
+	Convey("The loss is told before those that wait for answers learn of it", t, func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			w := newWire(conn)
+			var h hello
+			if w.read(&h) == nil && w.write(hello{Version: Version, Name: "home"}) == nil {
+				var r request
+				_ = w.read(&r)
+			}
+			_ = conn.Close()
+		}()
+		defer func() { _ = l.Close() }()
+		w := &slowWatcher{}
+		c := NewClient("entry", "home", l.Addr().String(), w)
+		defer c.Close()
+		So(c.Open(unit.Header{}).Run(call("a")).Fate, ShouldEqual, unit.Lost)
+		lost, _ := w.counts()
+		So(lost, ShouldEqual, 1)
+	})
 	// Seen on the users' bench: dozens of requests each waited for a dial of their own
 	// to a dark home, and a relay's follower with them for 11 s.
 	Convey("Many calls to a home that can't be reached wait for one dial, not each for its own", t, func() {
