Revert the estimates by class: suspected of refusals beside load

Suspected, not shown: with the first samples of a kind weighing more, and the first of a class standing for all new kinds, one slow answer raises the expected time by a half, where it was a sixteenth.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -112,7 +112,6 @@
 	if w.deadline.IsZero() {
 		w.deadline = now.Add(q.config.Patience)
 	}
-	q.service.met(t.Kind, class{w.weight, w.deadline.Sub(now).Round(classStep)})
 	if !w.deadline.After(now) {
 		return Decision{
 			Verdict: Refused,
