--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -8,9 +8,9 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/laburnumrack/laburnumrack/internal/fleet"
+	"github.com/laburnumrack/laburnumrack/internal/hangup"
 )
 
 // clientStream is a TLS connection that carries units one after another.
@@ -43,18 +43,7 @@
 // ended reports whether the peer has closed the stream, or sent what nobody asked
 // for. It looks without waiting and without taking bytes off.
 func (s *clientStream) ended() bool {
-	raw, err := s.tls.NetConn().(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = !errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err != nil || ended
+	return hangup.Ended(s.tls.NetConn())
 }
 
 // stream takes an idle stream to vm, or opens one. Its connection counts as busy
--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/laburnumrack/laburnumrack/internal/hangup"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/target"
 	"github.com/laburnumrack/laburnumrack/internal/work"
@@ -92,7 +93,7 @@
 
 func (c *conn) Reusable() bool {
 	return !c.closed.Load() && !c.canceled.Load() && c.status == work.TxIdle &&
-		c.reader.unread() == 0 && !hungUp(c.net)
+		c.reader.unread() == 0 && !hangup.Ended(c.net)
 }
 
 func (c *conn) Doubt() {
--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +109,28 @@
 	return *g.targets.Load()
 }
 
+// Find returns the listed target of an id, nil if none has it.
+func (g *Group) Find(id string) *Target {
+	for _, t := range g.Targets() {
+		if t.Info().ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// listedPrimaries returns the targets that call themselves primary in the list and
+// stay.
+func (g *Group) listedPrimaries() []*Target {
+	var out []*Target
+	for _, t := range g.Targets() {
+		if info := t.Info(); info.Primary && !info.Draining {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // Limits returns the declared limits.
 func (g *Group) Limits() catalog.GroupLimits {
 	return *g.limits.Load()
@@ -204,12 +227,7 @@
 	if l := g.Leader(); l != nil {
 		return l.Target.Pool.Shut()
 	}
-	for _, t := range g.Targets() {
-		if info := t.Info(); info.Primary && !info.Draining && t.Pool.Shut() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(g.listedPrimaries(), func(t *Target) bool { return t.Pool.Shut() })
 }
 
 // WaitLeader waits until a leader other than not is known, at most until the given
@@ -279,10 +297,5 @@
 
 // Lists reports whether t is listed.
 func (g *Group) Lists(t *Target) bool {
-	for _, listed := range g.Targets() {
-		if listed == t {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(g.Targets(), t)
 }
--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -96,12 +96,7 @@
 
 // listedPrimaryLeaves reports whether no target that stays calls itself primary.
 func (g *Group) listedPrimaryLeaves() bool {
-	for _, t := range g.Targets() {
-		if info := t.Info(); info.Primary && !info.Draining {
-			return false
-		}
-	}
-	return true
+	return len(g.listedPrimaries()) == 0
 }
 
 func (m *monitor) look(ctx context.Context) {
@@ -150,10 +145,8 @@
 	if m.last.ID != "" {
 		return m.last
 	}
-	for _, t := range m.group.Targets() {
-		if info := t.Info(); info.Primary && !info.Draining {
-			return leadership.Leader{ID: info.ID, Term: m.group.KnownTerm()}
-		}
+	if listed := m.group.listedPrimaries(); len(listed) > 0 {
+		return leadership.Leader{ID: listed[0].Info().ID, Term: m.group.KnownTerm()}
 	}
 	return m.last
 }
@@ -178,9 +171,8 @@
 // a stale list costs time only.
 func (m *monitor) lookAtListed(ctx context.Context) bool {
 	g := m.group
-	for _, t := range g.Targets() {
-		info := t.Info()
-		if !info.Primary || info.Draining || t.State(boottime.Now()).FailingFor > 0 {
+	for _, t := range g.listedPrimaries() {
+		if t.State(boottime.Now()).FailingFor > 0 {
 			continue
 		}
 		status, err := t.Control(ctx, query.Statement{Kind: query.Status})
@@ -188,7 +180,7 @@
 			continue
 		}
 		g.Joined(status.Term)
-		m.last = leadership.Leader{ID: info.ID, Term: status.Term}
+		m.last = leadership.Leader{ID: t.Info().ID, Term: status.Term}
 		g.setLeader(&LeaderView{Leader: m.last, Target: t})
 		return true
 	}
@@ -220,10 +212,8 @@
 }
 
 func (g *Group) view(l leadership.Leader) *LeaderView {
-	for _, t := range g.Targets() {
-		if t.Info().ID == l.ID {
-			return &LeaderView{Leader: l, Target: t}
-		}
+	if t := g.Find(l.ID); t != nil {
+		return &LeaderView{Leader: l, Target: t}
 	}
 	return nil
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -84,7 +84,7 @@
 
 func (e *Executor) newWork(r *run, c unit.Call) (*work, query.Code) {
 	w := &work{
-		run: r, st: c.Statement, environment: c.Environment, writes: writes(c), route: r.header.Route,
+		run: r, st: c.Statement, environment: c.Environment, writes: c.Environment.Writes(c.Statement), route: r.header.Route,
 		arrived: boottime.Now() - c.Age,
 	}
 	timeout := w.route.StatementTimeout
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -82,11 +82,3 @@
 		return query.Open
 	}
 }
-
-// writes reports whether a statement changes data.
-func writes(c unit.Call) bool {
-	if c.Statement.Kind == query.Execute {
-		return c.Environment.Prepared[c.Statement.Name].Writes
-	}
-	return c.Statement.Writes
-}
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -277,10 +277,8 @@
 }
 
 func (a *attempt) distance(id string) int {
-	for _, t := range a.group.Targets() {
-		if info := t.Info(); info.ID == id {
-			return a.group.Place.Distance(info.FailureDomain)
-		}
+	if t := a.group.Find(id); t != nil {
+		return a.group.Place.Distance(t.Info().FailureDomain)
 	}
 	return 0
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -148,10 +148,7 @@
 		return s.refuse(st, code, "no_route")
 	}
 	header := s.header(route, version)
-	writes := st.Writes
-	if st.Kind == query.Execute {
-		writes = s.environment.Prepared[st.Name].Writes
-	}
+	writes := s.environment.Writes(st)
 	u, reply := s.open(header, st, arrived, !writes)
 	if u != nil {
 		u.Close()
--- a/internal/adapter/target/alive_unix.go
+++ b/internal/hangup/hangup.go
@@ -1,15 +1,18 @@
 //go:build unix
 
-package target
+// Package hangup tells whether the peer of an idle connection has ended it.
+package hangup
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
 
-// hungUp reports whether the peer closed an idle connection or sent something
-// that nobody asked for. It does not wait.
-func hungUp(conn net.Conn) bool {
+// Ended reports whether the peer closed an idle connection or sent something that
+// nobody asked for. It does not wait, and takes no bytes off. A connection without a
+// descriptor counts as open.
+func Ended(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -22,7 +25,7 @@
 	err = control.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = failure == syscall.EAGAIN || failure == syscall.EWOULDBLOCK
+		silent = errors.Is(failure, syscall.EAGAIN)
 		return true
 	})
 	return err != nil || !silent
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -64,6 +64,15 @@
 	Prepared map[string]Prepared
 }
 
+// Writes reports whether a statement changes data; one that executes does if the
+// statement that it names was prepared to.
+func (e Environment) Writes(s Statement) bool {
+	if s.Kind == Execute {
+		return e.Prepared[s.Name].Writes
+	}
+	return s.Writes
+}
+
 // TxState is the transaction state after an answer.
 type TxState byte
 
