Serve sooner after the whole fleet has lost power

A new session now waits for the first list of VMs, 0.5 s at most (node.TestStartBeforeVMsAreListed). - Targets count the connections of dead daemons for 3 s. Of the few that are left, the first home took all; pools open as many at once as they have, so that each home gets one (backend.TestHomesThatStartAtOnce).

Ruled out: peers held as unreachable (9 in the second after the start) and peers that refuse because they start later.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -208,10 +208,16 @@
 }
 
 // dialIfNeeded opens connections while more requests wait than dials are running and the
-// limit plus extra is not reached. Within fullBackoff of a refusal it opens one only if
-// none is open. p.mu must be held.
+// limit plus extra is not reached. It dials as many at once as are established, at least
+// one, so that the homes that connect to a target at the same time, with the connections
+// of their dead predecessors still counted there, get one each before one of them gets
+// all that are left. Within fullBackoff of a refusal it opens one only if none is open.
+// p.mu must be held.
 func (p *Pool) dialIfNeeded(extra int) {
 	for !p.closed && p.dialing < len(p.waiters) && p.open < p.limit+extra {
+		if established := p.open - p.dialing; p.dialing >= max(established, 1) {
+			return
+		}
 		if p.open > 0 && time.Now().Before(p.fullUntil) {
 			return
 		}
@@ -239,6 +245,7 @@
 	if err == nil {
 		p.target.markAnswering()
 		p.deliver(&PooledConn{Conn: conn, target: p.target, values: map[string]string{}, prepared: map[string]struct{}{}})
+		p.dialIfNeeded(0)
 		return
 	}
 	p.open--
--- /dev/null
+++ b/internal/backend/pool_test.go
@@ -0,0 +1,83 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/laburnumrack/laburnumrack/internal/catalog"
+	"github.com/laburnumrack/laburnumrack/internal/query"
+)
+
+// cappedDialer accepts a number of connections and refuses further ones as a target does
+// that is at its limit.
+type cappedDialer struct {
+	mu      sync.Mutex
+	free    int // guarded by mu
+	refused int // guarded by mu
+}
+
+// handshakeTime is how long a dial of a cappedDialer takes.
+const handshakeTime = 12 * time.Millisecond
+
+func (d *cappedDialer) Dial(context.Context, string, string, string) (Conn, error) {
+	time.Sleep(handshakeTime)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.free == 0 {
+		d.refused++
+		return nil, &RefusedError{Code: query.TooManyConnections}
+	}
+	d.free--
+	return idleConn{}, nil
+}
+
+// idleConn is a connection that is only opened and closed.
+type idleConn struct{ Conn }
+
+func (idleConn) Alive() bool  { return true }
+func (idleConn) Close() error { return nil }
+
+// Guards against a home that takes all connections that a target has left: after a
+// failure of power the targets count the connections of dead daemons for seconds, and
+// half of the homes found no primary until these were dropped.
+func TestHomesThatStartAtOnce(t *testing.T) {
+	Convey("Homes that start within the time of a handshake get a connection each while the target has few left", t, func() {
+		const homes, requests, limit = 3, 8, 4
+		dialer := &cappedDialer{free: homes + 1}
+		var wg sync.WaitGroup
+		served := make([]bool, homes)
+		for home := range homes {
+			target := NewTarget(catalog.Target{ID: "i-1", Slots: 2}, dialer)
+			target.Pool.SetLimits(1, limit)
+			var mu sync.Mutex
+			time.Sleep(handshakeTime / (2 * homes))
+			for range requests {
+				wg.Go(func() {
+					if _, verdict := target.Pool.Acquire(1, 0, time.Now().Add(5*handshakeTime)); verdict == Acquired {
+						mu.Lock()
+						defer mu.Unlock()
+						served[home] = true
+					}
+				})
+			}
+		}
+		wg.Wait()
+		So(served, ShouldResemble, []bool{true, true, true})
+	})
+	Convey("The connections of a busy home grow to the limit", t, func() {
+		const limit = 7
+		target := NewTarget(catalog.Target{ID: "i-1", Slots: 2}, &cappedDialer{free: limit})
+		target.Pool.SetLimits(1, limit)
+		var wg sync.WaitGroup
+		verdicts := make([]Verdict, limit)
+		for i := range verdicts {
+			wg.Go(func() { _, verdicts[i] = target.Pool.Acquire(1, 0, time.Now().Add(20*handshakeTime)) })
+		}
+		wg.Wait()
+		So(verdicts, ShouldResemble, make([]Verdict, limit))
+	})
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -52,8 +52,11 @@
 	// configurationTimeout is how long a new session waits for the daemon's first
 	// configuration. Callers abandon the start of a session after 2 s.
 	configurationTimeout = 1500 * time.Millisecond
-	// configurationPollInterval is the time between checks for the first configuration.
-	configurationPollInterval = 20 * time.Millisecond
+	// homesTimeout is how long a new session waits for the first list of VMs once there is
+	// a configuration.
+	homesTimeout = 500 * time.Millisecond
+	// startPollInterval is the time between checks for the first configuration and list.
+	startPollInterval = 20 * time.Millisecond
 )
 
 // Server accepts connections of callers and runs their statements. Set the exported fields
@@ -126,7 +129,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read start message: %w", err)
 	}
-	s.waitForConfiguration()
+	s.waitUntilPrepared()
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return nil, err
 	}
@@ -148,12 +151,23 @@
 	}
 }
 
-// waitForConfiguration waits until there is a configuration, at most for
-// configurationTimeout.
-func (s *Server) waitForConfiguration() {
-	deadline := time.Now().Add(configurationTimeout)
-	for s.Configuration.Current() == nil && time.Now().Before(deadline) {
-		time.Sleep(configurationPollInterval)
+// waitUntilPrepared waits until there is a configuration, at most for
+// configurationTimeout, and then until the homes are known, at most for homesTimeout: a
+// daemon that doesn't know the other VMs would act as home of every group, and the
+// daemons of a fleet that starts at once would exceed the connection limits of the
+// targets.
+func (s *Server) waitUntilPrepared() {
+	waitUntil(configurationTimeout, func() bool { return s.Configuration.Current() != nil })
+	if s.Configuration.Current() != nil {
+		waitUntil(homesTimeout, s.Homes.Known)
+	}
+}
+
+// waitUntil polls condition until it holds, at most for timeout.
+func waitUntil(timeout time.Duration, condition func() bool) {
+	deadline := time.Now().Add(timeout)
+	for !condition() && time.Now().Before(deadline) {
+		time.Sleep(startPollInterval)
 	}
 }
 
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -15,6 +15,9 @@
 
 // HomeFinder finds the homes at which units of a group can be opened.
 type HomeFinder interface {
+	// Known reports whether the VMs of the fleet have been listed. Before that, Openers
+	// returns only this daemon.
+	Known() bool
 	// Openers returns the homes of a group, most preferred first.
 	Openers(group string) []stmtunit.Opener
 	// OtherDomainOpeners returns the homes of a group in other failure domains, nearest
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -59,6 +59,8 @@
 // fakeHomeFinder returns homes of the own failure domain and of others.
 type fakeHomeFinder struct{ own, others []*fakeHome }
 
+func (h fakeHomeFinder) Known() bool { return true }
+
 func (h fakeHomeFinder) Openers(string) []stmtunit.Opener { return openers(h.own) }
 
 func (h fakeHomeFinder) OtherDomainOpeners(string) []stmtunit.Opener { return openers(h.others) }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,6 +44,8 @@
 	// regions maps each failure domain to its region.
 	regions map[string]string
 	view    atomic.Pointer[fleet.View]
+	// known is set by the first list of registrations.
+	known atomic.Bool
 
 	mu         sync.Mutex
 	tracker    *fleet.Tracker          // guarded by mu
@@ -75,6 +77,11 @@
 	return m.self
 }
 
+// Known reports whether the registrations of the VMs have been listed.
+func (m *Members) Known() bool {
+	return m.known.Load()
+}
+
 // Openers returns the openers to try in order for a group: its home candidates, then this
 // daemon.
 func (m *Members) Openers(group string) []stmtunit.Opener {
@@ -219,6 +226,7 @@
 		m.signalRemoval(m.self.Name)
 	}
 	m.updateTracker()
+	m.known.Store(true)
 }
 
 // Change applies a change of one registration.
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -32,7 +32,7 @@
 	slowWatchWait = 10 * time.Second
 	// watchSlack is how long after its wait a watch without an answer counts as lost.
 	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds one list call.
+	// listTimeout bounds the hedged attempts of one list call.
 	listTimeout = 2 * time.Second
 	// batchPause is the time between an answer with changes and the next watch, so that
 	// changes in quick succession need one call.
@@ -150,7 +150,7 @@
 	if from == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		page, err := f.objects.List(ctx, f.kind)
+		page, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
 		if err != nil {
 			return 0, err
 		}
--- a/internal/node/fleet_start_test.go
+++ b/internal/node/fleet_start_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/laburnumrack/laburnumrack/internal/membership"
 	"github.com/laburnumrack/laburnumrack/internal/standin/site"
 )
 
@@ -76,3 +77,28 @@
 		So(tc.group.RefusedConnections(), ShouldBeLessThan, tc.group.MaxConnections*len(testZones))
 	})
 }
+
+// Guards against a daemon that acts as home before it knows the other VMs: after a
+// failure of power, 206 daemons instead of 48 acted as homes, and the targets reset 2,569
+// connections over their limits.
+func TestStartBeforeVMsAreListed(t *testing.T) {
+	Convey("A daemon that starts beside others leaves the group to its home, although it learns of the others last", t, func() {
+		tc := newTestCluster(t, testZones[0], testZones[0])
+		const listDelay = 250 * time.Millisecond
+		tc.store.SetDelay(string(membership.KindVM), listDelay)
+		// Of vm-0, vm-1 and vm-9, vm-1 is the home of the group.
+		late := tc.start("vm-9", testZones[0])
+		tc.eventually(5*time.Second, "the late daemon is ready", late.Ready)
+		So(late.members.Known(), ShouldBeFalse)
+		So(tc.connect(late, dbSession).Query("READ k").OK(), ShouldBeTrue)
+		So(late.registry.Group("grp").Leader(), ShouldBeNil)
+	})
+	Convey("A daemon that can't learn of the others serves its callers itself", t, func() {
+		tc := newTestCluster(t, testZones[0])
+		tc.store.SetDelay(string(membership.KindVM), time.Minute)
+		late := tc.start("vm-late", testZones[0])
+		tc.eventually(5*time.Second, "the late daemon is ready", late.Ready)
+		So(tc.connect(late, dbSession).Query("READ k").OK(), ShouldBeTrue)
+		So(late.members.Known(), ShouldBeFalse)
+	})
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -53,12 +53,13 @@
 	Address string
 
 	mu             sync.Mutex
-	revision       uint64             // guarded by mu
-	objects        map[string]*object // guarded by mu; key is kind/name; includes removed objects
-	oldestRevision uint64             // guarded by mu; watches from an earlier revision get 410
-	changed        chan struct{}      // guarded by mu; closed and replaced at each change
-	fault          Fault              // guarded by mu
-	callCounts     map[string]int     // guarded by mu; key is method and kind, such as "GET servers"
+	revision       uint64                   // guarded by mu
+	objects        map[string]*object       // guarded by mu; key is kind/name; includes removed objects
+	oldestRevision uint64                   // guarded by mu; watches from an earlier revision get 410
+	changed        chan struct{}            // guarded by mu; closed and replaced at each change
+	fault          Fault                    // guarded by mu
+	callCounts     map[string]int           // guarded by mu; key is method and kind, such as "GET servers"
+	delays         map[string]time.Duration // guarded by mu; of the answers to calls, by kind
 	server         *http.Server
 }
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}), callCounts: map[string]int{}}
+	s := &Store{Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}), callCounts: map[string]int{}, delays: map[string]time.Duration{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -87,6 +88,13 @@
 	s.notifyWatchers()
 }
 
+// SetDelay sets how long answers to calls about a kind are delayed.
+func (s *Store) SetDelay(kind string, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delays[kind] = delay
+}
+
 // DiscardHistory discards the history: a watch from an earlier revision than the current
 // one gets 410.
 func (s *Store) DiscardHistory() {
@@ -159,8 +167,9 @@
 	}
 	s.mu.Lock()
 	s.callCounts[r.Method+" "+kind]++
-	fault := s.fault
+	fault, delay := s.fault, s.delays[kind]
 	s.mu.Unlock()
+	time.Sleep(delay)
 	switch fault {
 	case Unavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
