Take positions of primaries from other homes, and keep a connection for single statements

Homes that got none refused every read (305 statements in the first second), although the replicas were idle; what was left was held by transactions through their callers' pauses (104 refusals, no_connection). - A home whose primary does not answer within 0.1 s takes the position from the other homes of the group, as an age, so it never counts as younger (backend.TestPositionFromPeers, node.TestReadsWithoutConnectionToPrimary, peer.TestRelay). - Transactions hold at most all connections but one; while the target has no room for more, all that are open but one (backend.transactionRoom, TestTransactionsLeaveAConnection).

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -40,6 +40,9 @@
 	// Overloaded means that too many requests wait for the target to serve another in
 	// time.
 	Overloaded
+	// NoTransactionRoom means that other transactions hold the connections that
+	// transactions may hold.
+	NoTransactionRoom
 )
 
 // waiter is a request that waits for a connection.
@@ -53,6 +56,8 @@
 type Pool struct {
 	target *Target
 	dialer Dialer
+	// transactions limits the connections that transactions hold. It is locked after mu.
+	transactions transactionRoom
 
 	mu        sync.Mutex
 	idle      []*PooledConn // guarded by mu; ordered by last use, the most recent last
@@ -73,9 +78,28 @@
 	defer p.mu.Unlock()
 	p.base, p.limit = base, limit
 	p.updateGate()
+	p.updateTransactionRoom()
 }
 
-// Pin marks a lent connection as held by a transaction until the transaction ends.
+// ReserveTransaction waits until another transaction may hold a connection, at most until
+// the given time, and reports whether one may. The reservation ends with
+// CancelTransaction, or when the connection that Pin marked is released or discarded.
+func (p *Pool) ReserveTransaction(until time.Time) bool {
+	return p.transactions.reserve(until)
+}
+
+// CancelTransaction ends a reservation for which no connection was marked.
+func (p *Pool) CancelTransaction() {
+	p.transactions.release()
+}
+
+// updateTransactionRoom sets how many transactions may hold connections. p.mu must be held.
+func (p *Pool) updateTransactionRoom() {
+	p.transactions.setLimit(transactionLimit(p.open-p.dialing, p.limit, time.Now().Before(p.fullUntil)))
+}
+
+// Pin marks a lent connection, for which room was reserved, as held by a transaction until
+// the transaction ends.
 func (p *Pool) Pin(c *PooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,6 +114,7 @@
 		c.pinned = false
 		p.pinned--
 		p.updateGate()
+		p.transactions.release()
 	}
 }
 
@@ -261,6 +286,7 @@
 		p.target.counters.full.Inc()
 		p.target.markAnswering()
 		p.fullUntil = time.Now().Add(fullBackoff)
+		p.updateTransactionRoom()
 		time.AfterFunc(fullBackoff, p.retryDial)
 		return
 	}
@@ -278,6 +304,7 @@
 func (p *Pool) retryDial() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateTransactionRoom()
 	p.dialIfNeeded(0)
 }
 
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -11,6 +11,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 )
 
@@ -33,11 +34,20 @@
 	Dialer       Dialer
 	Promoter     Promoter
 	PrimaryLease *primarylease.Checker
+	// Peers finds positions of primaries that this daemon can't query; it may be nil.
+	Peers PositionFinder
 	// DrainTime is how long a draining target may be given new work.
 	DrainTime time.Duration
 	Log       *eventlog.Log
 }
 
+// PositionFinder finds positions of primaries at other daemons.
+type PositionFinder interface {
+	// FindPosition asks the other homes of a group for the position of its primary. It
+	// returns the first answer, and false if none of them has a position.
+	FindPosition(group string) (freshness.Sample, bool)
+}
+
 // Registry holds the groups and targets of a daemon. It is safe for concurrent use.
 type Registry struct {
 	Dependencies
@@ -72,6 +82,15 @@
 	return g
 }
 
+// NewestPosition returns the newest sample of the position of a group's primary. It
+// implements peer.PositionSource.
+func (r *Registry) NewestPosition(group string) (freshness.Sample, bool) {
+	if g := r.Group(group); g != nil {
+		return g.PositionHistory.Newest()
+	}
+	return freshness.Sample{}, false
+}
+
 // WaitGroup returns the group with the given name. It waits for one that is not known
 // yet, and returns nil if there is none by the given time. A daemon that has just started
 // may receive units from other daemons before its first list.
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
@@ -284,3 +286,43 @@
 		So(target.LacksPosition(500*time.Millisecond, now), ShouldBeFalse)
 	})
 }
+
+// peerSample is a PositionFinder that returns one sample, or none if it is zero. It counts
+// its calls.
+type peerSample struct {
+	sample freshness.Sample
+	calls  atomic.Int64
+}
+
+func (p *peerSample) FindPosition(string) (freshness.Sample, bool) {
+	p.calls.Add(1)
+	return p.sample, p.sample != freshness.Sample{}
+}
+
+// Guards against reads refused by a home that has no connection to the primary, although
+// the replicas are idle and other homes know the position of the primary.
+func TestPositionFromPeers(t *testing.T) {
+	target := catalog.Target{ID: "i-1", Group: "g", Address: "10.0.0.1:1", FailureDomain: "north", Slots: 3, Primary: true}
+	refresh := func(peers PositionFinder) *Group {
+		r := newRegistry(t)
+		r.Peers = peers
+		r.PutTarget(target)
+		g := r.Group("g")
+		<-g.RefreshPosition()
+		return g
+	}
+	Convey("A home that can't query the primary takes the position from another home", t, func() {
+		known := freshness.Sample{At: boottime.Now() - time.Second, Position: position.Position{Term: 1, Index: 7}}
+		newest, ok := refresh(&peerSample{sample: known}).PositionHistory.Newest()
+		So(ok, ShouldBeTrue)
+		So(newest, ShouldResemble, known)
+	})
+	Convey("Other homes that have no position are not asked for each request", t, func() {
+		peers := &peerSample{}
+		g := refresh(peers)
+		for range 20 {
+			<-g.RefreshPosition()
+		}
+		So(peers.calls.Load(), ShouldBeLessThan, 3)
+	})
+}
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -68,7 +68,8 @@
 		t.drainingSince.Store(drainStartUnknown)
 	}
 	t.Gate = newGate(info.Slots)
-	t.Pool = &Pool{target: t, dialer: dialer, base: 1, limit: 2}
+	t.Pool = &Pool{target: t, dialer: dialer}
+	t.Pool.SetLimits(1, minConnectionLimit)
 	return t
 }
 
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -45,6 +45,9 @@
 		case backend.Overloaded:
 			a := e.refuseNotRun(r, query.Busy, "too_late")
 			return nil, nil, &a
+		case backend.NoTransactionRoom:
+			a := e.refuseNotRun(r, query.Busy, "transactions_full")
+			return nil, nil, &a
 		default:
 			failed = l
 			r.group.TriggerCheck()
@@ -61,10 +64,28 @@
 	return conn, verdict
 }
 
-// tryAcquire is acquire without the metric. If the verdict is not Acquired, the request
-// holds neither a slot nor a connection.
+// tryAcquire is acquire without the metric. For the first statement of a transaction it
+// reserves room among the target's transactions. If the verdict is not Acquired, the
+// request holds neither a slot nor a connection nor a reservation.
 func (e *Executor) tryAcquire(r *request, t *backend.Target) (*backend.PooledConn, backend.Verdict) {
 	r.leaveGate()
+	if r.unit.tx == nil {
+		return e.enterGateAndAcquire(r, t)
+	}
+	if !t.Pool.ReserveTransaction(r.transactionDeadline) {
+		return nil, backend.NoTransactionRoom
+	}
+	conn, verdict := e.enterGateAndAcquire(r, t)
+	if verdict != backend.Acquired {
+		t.Pool.CancelTransaction()
+		return nil, verdict
+	}
+	t.Pool.Pin(conn)
+	return conn, verdict
+}
+
+// enterGateAndAcquire waits for admission by the target's gate and then for a connection.
+func (e *Executor) enterGateAndAcquire(r *request, t *backend.Target) (*backend.PooledConn, backend.Verdict) {
 	retryAfter, ok := t.Gate.Enter(backend.Request{
 		Kind: r.gateKind(), Weight: max(1, lowestPriority-r.route.Priority), Statements: e.expectedStatements(r), Deadline: r.answerDeadline(),
 	})
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -56,6 +56,9 @@
 	// deadline ends all attempts; queueDeadline ends the wait for a target that takes the
 	// statement.
 	deadline, queueDeadline time.Time
+	// transactionDeadline ends the wait for room among the transactions of a target. It is
+	// zero, for no wait, as long as another target may have room.
+	transactionDeadline time.Time
 	// attempts counts the exchanges with targets.
 	attempts int
 	// gate is the target's gate that has admitted the statement; nil if none has, or the
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -116,7 +116,7 @@
 func (e *Executor) requirement(r *request) (Requirement, bool) {
 	now := boottime.Now()
 	floor := r.arrivedAt - r.route.MaxStaleness
-	if newest, ok := r.group.PositionHistory.NewestTime(); !ok || newest < now-r.route.MaxStaleness/2 {
+	if newest, ok := r.group.PositionHistory.Newest(); !ok || newest.At < now-r.route.MaxStaleness/2 {
 		done := r.group.RefreshPosition()
 		if _, ok := r.group.PositionHistory.OldestSince(floor); !ok {
 			timer := time.NewTimer(maxPositionWait)
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -79,6 +79,7 @@
 			}
 		}
 	}
+	r.transactionDeadline = r.queueDeadline
 	for {
 		l, conn, refusal := e.acquireLeader(r)
 		if conn == nil {
@@ -89,7 +90,6 @@
 		a, _, err := e.exchange(r, conn, begin)
 		if err == nil && a.OK() {
 			tx.conn, tx.leader, tx.confirmed = conn, l, false
-			l.Target.Pool.Pin(conn)
 			return nil
 		}
 		code := "lost"
@@ -123,7 +123,6 @@
 	if err == nil && a.OK() {
 		t.ObserveCaughtUp(required.Age)
 		tx.conn, tx.leader = conn, nil
-		t.Pool.Pin(conn)
 		return true
 	}
 	if err == nil && a.Code == query.Behind {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -64,13 +64,12 @@
 	return Sample{}, false
 }
 
-// NewestTime returns the time since boot of the newest sample. It reports false if the
-// history is empty.
-func (h *History) NewestTime() (time.Duration, bool) {
+// Newest returns the newest sample. It reports false if the history is empty.
+func (h *History) Newest() (Sample, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.samples) == 0 {
-		return 0, false
+		return Sample{}, false
 	}
-	return h.samples[len(h.samples)-1].At, true
+	return h.samples[len(h.samples)-1], true
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/fleet"
+	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 	"github.com/laburnumrack/laburnumrack/internal/store"
@@ -98,9 +99,19 @@
 // OtherDomainOpeners returns the openers of a group's homes in the other failure domains,
 // those of this daemon's region first.
 func (m *Members) OtherDomainOpeners(group string) []stmtunit.Opener {
+	var out []stmtunit.Opener
+	for _, home := range m.otherDomainHomes(group) {
+		out = append(out, home)
+	}
+	return out
+}
+
+// otherDomainHomes returns the clients of the first home of a group in each other failure
+// domain, those of this daemon's region first.
+func (m *Members) otherDomainHomes(group string) []*peer.Client {
 	view := m.view.Load()
 	own := m.self.FailureDomain
-	var near, far []stmtunit.Opener
+	var near, far []*peer.Client
 	for _, domain := range slices.Sorted(maps.Keys(m.regions)) {
 		homes := view.HomesIn(domain, group, "")
 		switch {
@@ -114,6 +125,34 @@
 	return append(near, far...)
 }
 
+// FindPosition implements backend.PositionFinder. It asks all other homes of the group at
+// once: the candidates of this failure domain and the first home of each other one.
+func (m *Members) FindPosition(group string) (freshness.Sample, bool) {
+	homes := m.otherDomainHomes(group)
+	for _, vm := range m.view.Load().Homes(group, "") {
+		if vm.Name != m.self.Name {
+			homes = append(homes, m.client(vm))
+		}
+	}
+	answers := make(chan *freshness.Sample, len(homes))
+	for _, home := range homes {
+		go func() {
+			sample, err := home.Position(group)
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &sample
+		}()
+	}
+	for range homes {
+		if s := <-answers; s != nil {
+			return *s, true
+		}
+	}
+	return freshness.Sample{}, false
+}
+
 // Answers reports whether a VM answers. An unknown VM and this daemon count as answering.
 func (m *Members) Answers(name string) bool {
 	vm, ok := m.view.Load().Find(name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,8 +118,9 @@
 	promoter := &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
 	locality := backend.Locality{FailureDomain: settings.FailureDomain, Regions: settings.Regions}
 	relayReader := &relayIntentReader{direct: primarylease.New(n.promotionLock), promotionLock: n.promotionLock}
+	peers := &peerPositions{}
 	n.registry = backend.NewRegistry(n.ctx, backend.Dependencies{
-		Locality: locality, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: primarylease.New(relayReader), DrainTime: settings.DrainTime, Log: n.log,
+		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: primarylease.New(relayReader), DrainTime: settings.DrainTime, Log: n.log,
 	})
 	local := executor.New(n.registry, n.log)
 	self := fleet.VM{
@@ -129,11 +130,11 @@
 	n.members = membership.New(self, settings.Regions, local, n.log)
 	n.local = local
 	n.promotionLock.SetProbe(n.members.Answers)
-	relayReader.relays = n.members
+	relayReader.relays, peers.members = n.members, n.members
 	n.mirrors = mirrors{
 		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
 	}
-	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, OnPeerConnected: n.members.PeerResponded}
+	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerResponded}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -139,7 +139,7 @@
 		if r.Leaving {
 			c.client.observer.PeerLeaving(c.client.name)
 		}
-		if r.Reply == nil && r.Watched == nil && r.Intents == nil {
+		if r.Reply == nil && r.Watched == nil && r.Intents == nil && r.Position == nil {
 			continue
 		}
 		c.mu.Lock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -40,6 +40,8 @@
 	Watch *WatchRequest `cbor:"6,keyasint,omitempty"`
 	// Intents asks for the intents of promotions.
 	Intents bool `cbor:"7,keyasint,omitempty"`
+	// PositionOf names the group for whose primary's log position the request asks.
+	PositionOf string `cbor:"8,keyasint,omitempty"`
 }
 
 // response is a frame from the server to the client.
@@ -52,6 +54,8 @@
 	Watched *WatchResponse `cbor:"4,keyasint,omitempty"`
 	// Intents answers a request with Intents.
 	Intents *IntentsResponse `cbor:"5,keyasint,omitempty"`
+	// Position answers a request with PositionOf.
+	Position *PositionResponse `cbor:"6,keyasint,omitempty"`
 }
 
 // Timeouts and buffer size of a connection.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 	"github.com/laburnumrack/laburnumrack/internal/query"
@@ -281,6 +283,14 @@
 	return primarylease.Record{Intents: map[string]position.Term{"g": 3}, ReadStart: r.readStart}, true
 }
 
+// fakePositions has samples of groups.
+type fakePositions map[string]freshness.Sample
+
+func (p fakePositions) NewestPosition(group string) (freshness.Sample, bool) {
+	s, ok := p[group]
+	return s, ok
+}
+
 func TestRelay(t *testing.T) {
 	Convey("A relay answers requests for objects and intents", t, func() {
 		source := fakeRelay{readStart: boottime.Now() - 200*time.Millisecond}
@@ -299,6 +309,18 @@
 		So(r.ReadStart, ShouldBeLessThanOrEqualTo, source.readStart)
 		So(r.ReadStart, ShouldBeGreaterThan, source.readStart-time.Second)
 	})
+	Convey("A home answers requests for the position of a primary", t, func() {
+		source := fakePositions{"g": {At: boottime.Now() - 300*time.Millisecond, Position: position.Position{Term: 2, Index: 9}}}
+		c, _ := startServer(t, &Server{Name: "home", Opener: &echoHome{}, Positions: source}, "home")
+		sample, err := c.Position("g")
+		So(err, ShouldBeNil)
+		So(sample.Position, ShouldResemble, source["g"].Position)
+		// The sample must never count as younger than it is.
+		So(sample.At, ShouldBeLessThanOrEqualTo, source["g"].At)
+		So(sample.At, ShouldBeGreaterThan, source["g"].At-time.Second)
+		_, err = c.Position("unknown")
+		So(errors.Is(err, ErrNoPosition), ShouldBeTrue)
+	})
 	Convey("Requests to a daemon that is no relay fail", t, func() {
 		c, _ := startServer(t, &Server{Name: "home", Opener: &echoHome{}}, "home")
 		_, err := c.Watch(WatchRequest{Kind: "things", Wait: time.Second})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,6 +23,8 @@
 	// relay.
 	Objects ObjectWatcher
 	Intents IntentSource
+	// Positions answers requests for positions of primaries; it may be nil.
+	Positions PositionSource
 
 	leaving   atomic.Bool
 	mu        sync.Mutex
@@ -159,6 +161,8 @@
 		go c.answerWatch(r.Unit, *r.Watch)
 	case r.Intents:
 		go c.answerIntents(r.Unit)
+	case r.PositionOf != "":
+		go c.answerPosition(r.Unit, r.PositionOf)
 	case r.Close:
 		if u := c.removeUnit(r.Unit); u != nil {
 			go c.closeUnit(u)
