Start with what the neighbors know, follow the second relay, back off from full targets

The relay of a failure domain now connects to the registered VMs that are not connected to it, and a daemon that knows no VMs follows the daemon that connected first (node.TestStartWhileStoreRefusesVM). - Followers of a relay that the store refused called the store themselves (233 watches of the configuration in 4 s). They follow the second relay; a new relay's first watch does not wait (membership.TestOutdatedRelay, node.TestFirstWatchOfRelay). - A home whose relay and store fail reads the intents of promotions from a relay of another failure domain; the reported age counts as before. - A home without connections dialed a full target for each request: 1,996 resets in 1.3 s. It backs off for 50 ms (backend.TestBackoffFromFullTarget). - A VM whose process refuses connections is tried again after 0.5 s, not 3.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,8 @@
 	// fullBackoff is how long no further connection is opened after a target had no room
 	// for one.
 	fullBackoff = 200 * time.Millisecond
+	// firstBackoff is the same for a pool that has no connection at all.
+	firstBackoff = 50 * time.Millisecond
 	// aliveCheckIdle is the idle time after which a connection is checked before use.
 	aliveCheckIdle = 20 * time.Millisecond
 )
@@ -68,7 +70,8 @@
 	seq       uint64        // guarded by mu; seq of the last waiter
 	base      int           // guarded by mu; number of connections to keep open when idle
 	limit     int           // guarded by mu; maximum of open
-	fullUntil time.Time     // guarded by mu; end of the backoff after the target was full
+	fullUntil time.Time     // guarded by mu; end of the time for which the target counts as full
+	redialAt  time.Time     // guarded by mu; end of the backoff after the target was full
 	closed    bool          // guarded by mu
 }
 
@@ -236,14 +239,14 @@
 // limit plus extra is not reached. It dials as many at once as are established, at least
 // one, so that the homes that connect to a target at the same time, with the connections
 // of their dead predecessors still counted there, get one each before one of them gets
-// all that are left. Within fullBackoff of a refusal it opens one only if none is open.
+// all that are left. It opens none while it backs off from a full target.
 // p.mu must be held.
 func (p *Pool) dialIfNeeded(extra int) {
 	for !p.closed && p.dialing < len(p.waiters) && p.open < p.limit+extra {
 		if established := p.open - p.dialing; p.dialing >= max(established, 1) {
 			return
 		}
-		if p.open > 0 && time.Now().Before(p.fullUntil) {
+		if time.Now().Before(p.redialAt) {
 			return
 		}
 		p.open++
@@ -278,16 +281,21 @@
 }
 
 // dialFailed handles a failed dial. If the target has no room, dialing is retried after
-// fullBackoff. If the target is unreachable, all waiting requests fail, unless other
+// a backoff. If the target is unreachable, all waiting requests fail, unless other
 // connections are still open. p.mu must be held.
 func (p *Pool) dialFailed(err error) {
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Code == query.TooManyConnections {
 		p.target.counters.full.Inc()
 		p.target.markAnswering()
-		p.fullUntil = time.Now().Add(fullBackoff)
+		backoff := fullBackoff
+		if p.open == 0 {
+			backoff = firstBackoff
+		}
+		now := time.Now()
+		p.fullUntil, p.redialAt = now.Add(fullBackoff), now.Add(backoff)
 		p.updateTransactionRoom()
-		time.AfterFunc(fullBackoff, p.retryDial)
+		time.AfterFunc(backoff, p.retryDial)
 		return
 	}
 	p.target.connectFailed(err)
@@ -300,7 +308,7 @@
 	p.waiters = nil
 }
 
-// retryDial opens connections for the requests that still wait after fullBackoff.
+// retryDial opens connections for the requests that still wait after a backoff.
 func (p *Pool) retryDial() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -81,3 +81,25 @@
 		So(verdicts, ShouldResemble, make([]Verdict, limit))
 	})
 }
+
+// Guards against a home without a connection that dials a full target for each request:
+// after a loss of power, targets reset 1,996 connections in 1.3 s.
+func TestBackoffFromFullTarget(t *testing.T) {
+	Convey("However many requests come, a full target is dialed once per backoff, and used soon after it has room", t, func() {
+		dialer := &cappedDialer{}
+		target := NewTarget(catalog.Target{ID: "i-1", Slots: 2}, dialer)
+		const length = 300 * time.Millisecond
+		var wg sync.WaitGroup
+		for began := time.Now(); time.Since(began) < length; time.Sleep(time.Millisecond) {
+			wg.Go(func() { target.Pool.Acquire(1, 0, time.Now().Add(10*time.Millisecond)) })
+		}
+		wg.Wait()
+		dialer.mu.Lock()
+		refused := dialer.refused
+		dialer.free = 1
+		dialer.mu.Unlock()
+		So(refused, ShouldBeLessThanOrEqualTo, int(length/firstBackoff)+1)
+		_, verdict := target.Pool.Acquire(1, 0, time.Now().Add(2*firstBackoff))
+		So(verdict, ShouldEqual, Acquired)
+	})
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -147,3 +147,25 @@
 		view.Homes("svc", "db")
 	}
 }
+
+func TestRefusedConnection(t *testing.T) {
+	Convey("A VM that refuses connections is tried again after RefusedHold, however often it refuses", t, func() {
+		tracker := newTracker(2)
+		now := epoch
+		for range 5 {
+			So(tracker.RecordRefusal(now, "osijek-1"), ShouldBeTrue)
+			So(tracker.RecordRefusal(now, "osijek-1"), ShouldBeFalse)
+			So(tracker.View(now).UsableInDomain("osijek"), ShouldHaveLength, 1)
+			now = now.Add(RefusedHold)
+			So(tracker.View(now).UsableInDomain("osijek"), ShouldHaveLength, 2)
+		}
+	})
+	Convey("A refusal does not shorten the hold of a VM that was silent", t, func() {
+		tracker := newTracker(2)
+		for range FailureThreshold {
+			tracker.RecordFailure(epoch, "osijek-1")
+		}
+		tracker.RecordRefusal(epoch, "osijek-1")
+		So(tracker.View(epoch.Add(RefusedHold)).UsableInDomain("osijek"), ShouldHaveLength, 1)
+	})
+}
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -18,6 +18,9 @@
 	// MaxUnreachableHold: the platform may list a removed VM forever.
 	UnreachableHold    = 3 * time.Second
 	MaxUnreachableHold = 24 * time.Second
+	// RefusedHold is how long a VM is not used that refused a connection: its process is
+	// not running, and processes are restarted within moments.
+	RefusedHold = 500 * time.Millisecond
 	// UnlistedRetention is how long a VM that the platform does not list is kept after
 	// its last answer.
 	UnlistedRetention = 10 * time.Second
@@ -127,6 +130,17 @@
 	return true
 }
 
+// RecordRefusal records that a VM refused a connection. It reports whether the VM became
+// unreachable by that.
+func (t *Tracker) RecordRefusal(now time.Time, name string) bool {
+	m, ok := t.members[name]
+	if !ok || now.Before(m.unreachableUntil) {
+		return false
+	}
+	m.unreachableUntil = now.Add(RefusedHold)
+	return true
+}
+
 // MarkLeaving records that a VM announced that it takes no new work.
 func (t *Tracker) MarkLeaving(now time.Time, name string) {
 	if m, ok := t.members[name]; ok {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
@@ -47,11 +48,17 @@
 	view    atomic.Pointer[fleet.View]
 	// known is set by the first list of registrations.
 	known atomic.Bool
+	// contact is the client of a daemon that connected to this one before known was set;
+	// nil if there is none.
+	contact atomic.Pointer[peer.Client]
 
 	mu         sync.Mutex
 	tracker    *fleet.Tracker          // guarded by mu
 	registered map[string]registeredVM // guarded by mu
 	clients    map[string]*peer.Client // guarded by mu; by address
+	// outdatedUntil maps a relay to the time until which it counts as without a current
+	// copy.
+	outdatedUntil map[string]time.Time // guarded by mu
 	// removed receives a value when this daemon's registration has been removed.
 	removed chan struct{}
 }
@@ -67,7 +74,7 @@
 func New(self fleet.VM, regions map[string]string, local stmtunit.Opener, log *eventlog.Log) *Members {
 	m := &Members{
 		self: self, regions: regions, local: local, log: log, tracker: fleet.NewTracker(self, nil),
-		registered: map[string]registeredVM{}, clients: map[string]*peer.Client{}, removed: make(chan struct{}, 1),
+		registered: map[string]registeredVM{}, clients: map[string]*peer.Client{}, outdatedUntil: map[string]time.Time{}, removed: make(chan struct{}, 1),
 	}
 	m.publishView()
 	return m
@@ -160,13 +167,17 @@
 }
 
 // Relay returns the client of the relay of this failure domain, nil if this daemon is the
-// relay or the domain has no usable VM.
+// relay or the domain has no usable VM. As long as the VMs are not known, it is the
+// contact, if there is one.
 func (m *Members) Relay() *peer.Client {
-	relays := m.view.Load().Relays(m.self.FailureDomain)
-	if len(relays) == 0 || relays[0].Name == m.self.Name {
+	if !m.Known() {
+		return m.contact.Load()
+	}
+	relay, ok := m.selectRelay(m.view.Load().Relays(m.self.FailureDomain))
+	if !ok || relay.Name == m.self.Name {
 		return nil
 	}
-	return m.client(relays[0])
+	return m.client(relay)
 }
 
 // client returns the client of a VM, and creates it if there is none for its address and
@@ -177,7 +188,7 @@
 	defer m.mu.Unlock()
 	c, ok := m.clients[address]
 	if !ok || c.Name() != vm.Name {
-		c = peer.NewClient(m.self.Name, vm.Name, address, m)
+		c = peer.NewClient(m.identity(), vm.Name, address, m)
 		m.clients[address] = c
 	}
 	return c
@@ -209,8 +220,12 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	changed := false
-	for range fleet.FailureThreshold {
-		changed = m.tracker.RecordFailure(now, name) || changed
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		changed = m.tracker.RecordRefusal(now, name)
+	} else {
+		for range fleet.FailureThreshold {
+			changed = m.tracker.RecordFailure(now, name) || changed
+		}
 	}
 	m.publishView()
 	if changed {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -196,3 +196,47 @@
 		So(names, ShouldResemble, []string{"s", "w"})
 	})
 }
+
+// Guards against followers of a relay that the store refuses: each of them called the
+// store itself, up to 233 calls in 4 s.
+func TestOutdatedRelay(t *testing.T) {
+	Convey("Daemons follow the second relay while the first one has no current copy", t, func() {
+		var registrations []store.Object
+		for i, name := range []string{"a", "b", "c", "d"} {
+			registrations = append(registrations, registrationObject(name, fmt.Sprintf("10.0.0.%d:7440", i+1), "north"))
+		}
+		members := map[string]*Members{}
+		followed := func(name string) string {
+			if relay := members[name].Relay(); relay != nil {
+				return relay.Name()
+			}
+			return name
+		}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			members[name] = newMembers(name)
+			members[name].Replace(registrations)
+		}
+		first := followed("a")
+		for name, m := range members {
+			So(followed(name), ShouldEqual, first)
+			m.RelayOutdated(first)
+		}
+		second := followed("a")
+		So(second, ShouldNotEqual, first)
+		for name := range members {
+			So(followed(name), ShouldEqual, second)
+		}
+		Convey("and the first one again if the second has none either", func() {
+			members["a"].RelayOutdated(second)
+			So(followed("a"), ShouldEqual, first)
+		})
+	})
+	Convey("A relay of another failure domain is one of this region if there is one", t, func() {
+		a := newMembers("a")
+		So(a.NearestOtherRelay(), ShouldBeNil)
+		a.Replace([]store.Object{registrationObject("a", "10.0.0.1:7440", "north"), registrationObject("w", "10.0.2.1:7440", "west")})
+		So(a.NearestOtherRelay().Name(), ShouldEqual, "w")
+		a.Replace([]store.Object{registrationObject("a", "10.0.0.1:7440", "north"), registrationObject("w", "10.0.2.1:7440", "west"), registrationObject("s", "10.0.1.1:7440", "south")})
+		So(a.NearestOtherRelay().Name(), ShouldEqual, "s")
+	})
+}
--- /dev/null
+++ b/internal/membership/relay.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnumrack/laburnumrack/internal/fleet"
+	"github.com/laburnumrack/laburnumrack/internal/peer"
+)
+
+// outdatedHold is how long a relay that had no current copy is not followed if another
+// one may have one: the store may refuse that VM and serve others.
+const outdatedHold = 2 * time.Second
+
+// RelayOutdated records that a relay had no current copy.
+func (m *Members) RelayOutdated(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if now.After(m.outdatedUntil[name]) {
+		m.log.StateChange("relay_outdated", "peer", name)
+	}
+	m.outdatedUntil[name] = now.Add(outdatedHold)
+}
+
+// selectRelay returns the best of the given relays that counts as current, and the best one
+// if none does. It reports false if there are no relays.
+func (m *Members) selectRelay(relays []fleet.VM) (fleet.VM, bool) {
+	if len(relays) == 0 {
+		return fleet.VM{}, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, vm := range relays {
+		if now.After(m.outdatedUntil[vm.Name]) {
+			return vm, true
+		}
+	}
+	return relays[0], true
+}
+
+// NearestOtherRelay returns the client of a relay of another failure domain, of this
+// daemon's region if possible; nil if none is known.
+func (m *Members) NearestOtherRelay() *peer.Client {
+	view := m.view.Load()
+	own := m.self.FailureDomain
+	var far *peer.Client
+	for _, domain := range slices.Sorted(maps.Keys(m.regions)) {
+		if domain == own {
+			continue
+		}
+		relay, ok := m.selectRelay(view.Relays(domain))
+		switch {
+		case !ok:
+		case m.regions[domain] == m.regions[own]:
+			return m.client(relay)
+		case far == nil:
+			far = m.client(relay)
+		}
+	}
+	return far
+}
--- a/internal/membership/stale_registrations.go
+++ b/internal/membership/stale_registrations.go
@@ -100,7 +100,7 @@
 
 // probe reports whether a VM answers on a new connection.
 func (m *Members) probe(name, address string) bool {
-	c := peer.NewClient(m.self.Name, name, address, m)
+	c := peer.NewClient(m.identity(), name, address, m)
 	defer c.Close()
 	return c.IsReachable()
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -24,6 +24,9 @@
 	nodes           []*Node
 	// version is the version of the last configuration.
 	version int
+	// refusingStore is the address of a store that refuses all calls; daemons started from
+	// now on use it if it is set.
+	refusingStore string
 	// metricsListen is the metrics address of daemons started from now on; empty for
 	// none.
 	metricsListen string
@@ -104,11 +107,15 @@
 	ip := "127.0.0.1"
 	ports := freePorts(tc.t, ip, 3)
 	regions := map[string]string{"north": "home", "south": "home", "west": "away"}
+	storeAddress := tc.store.Address
+	if tc.refusingStore != "" {
+		storeAddress = tc.refusingStore
+	}
 	settings := map[string]any{
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
 		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()},
-		"platform": map[string]any{"addr": tc.store.Address, "form": "objects"},
+		"platform": map[string]any{"addr": storeAddress, "form": "objects"},
 		"cloud":    map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
 	}
 	data, err := json.Marshal(settings)
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -51,6 +51,12 @@
 type RelaySelector interface {
 	// Relay returns the client of the relay, nil if this daemon calls the store itself.
 	Relay() *peer.Client
+	// RelayOutdated records that a relay had no current copy, so that another one is
+	// followed.
+	RelayOutdated(name string)
+	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
+	// none is known.
+	NearestOtherRelay() *peer.Client
 }
 
 // feed keeps a copy of one kind of object current. It follows the relay of its failure
@@ -129,11 +135,19 @@
 			f.deliver(ctx, answer.Complete, answer.Page)
 			return max(answer.Page.Revision, from), nil
 		}
+		if errors.Is(err, peer.ErrNotCurrent) {
+			f.relays.RelayOutdated(relay.Name())
+		}
 		if from != 0 && boottime.Now() < f.nextFallback {
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
-	next, err := f.pollStore(ctx, from)
+	wait := f.wait
+	if relay == nil && !f.mirror.isCurrent() {
+		// Until the first answer, the followers of a new relay call the store themselves.
+		wait = 0
+	}
+	next, err := f.pollStore(ctx, from, wait)
 	if err != nil && relay != nil {
 		f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
 		f.nextFallback = boottime.Now() + f.fallbackPause
@@ -143,9 +157,9 @@
 	return next, err
 }
 
-// pollStore makes one list or watch call to the store. It returns the revision to
-// continue from.
-func (f *feed) pollStore(ctx context.Context, from store.Revision) (store.Revision, error) {
+// pollStore makes one list call to the store, or one watch call that waits up to wait for a
+// change. It returns the revision to continue from.
+func (f *feed) pollStore(ctx context.Context, from store.Revision, wait time.Duration) (store.Revision, error) {
 	started := boottime.Now()
 	if from == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -158,9 +172,9 @@
 		f.deliver(ctx, true, page)
 		return page.Revision, nil
 	}
-	watch, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	watch, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	page, err := f.objects.Watch(watch, f.kind, from, f.wait)
+	page, err := f.objects.Watch(watch, f.kind, from, wait)
 	if err != nil {
 		return from, err
 	}
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +14,8 @@
 )
 
 // relayIntentReader reads the promotion intents from the relay, or from the store if this
-// daemon is the relay or the relay has no answer.
+// daemon is the relay or the relay has no answer, or else from a relay of another failure
+// domain.
 type relayIntentReader struct {
 	relays        RelaySelector
 	direct        *primarylease.Checker
@@ -21,14 +23,21 @@
 	// failedAt is when the last read from the store failed, in nanoseconds since boot; 0
 	// if it succeeded.
 	failedAt atomic.Int64
+	// otherFailedAt is when the last read from a relay of another failure domain failed, in
+	// nanoseconds since boot; 0 if none has.
+	otherFailedAt atomic.Int64
 }
 
 // intentReadPause is the pause after a follower's failed read from the store while its
 // relay has no current answer either; the relay reads the store more often.
 const intentReadPause = time.Second
 
-// errNoSource means that neither the relay nor the store answered.
-var errNoSource = errors.New("neither the relay nor the store answers")
+// storeHeadStart is how long the store may take to answer before a relay of another failure
+// domain is asked too.
+const storeHeadStart = 150 * time.Millisecond
+
+// errNoSource means that neither a relay nor the store answered.
+var errNoSource = errors.New("neither a relay nor the store answers")
 
 // ReadIntents implements primarylease.Reader.
 func (r *relayIntentReader) ReadIntents(context.Context) (primarylease.Record, error) {
@@ -46,15 +55,53 @@
 		if err == nil {
 			return record, nil
 		}
+		if errors.Is(err, peer.ErrNotCurrent) {
+			r.relays.RelayOutdated(relay.Name())
+		}
 		if failed := r.failedAt.Load(); failed != 0 && errors.Is(err, peer.ErrNotCurrent) && boottime.Now()-time.Duration(failed) < intentReadPause {
 			return primarylease.Record{}, errNoSource
 		}
 	}
-	record, ok := r.direct.RecentRecord()
-	if !ok {
+	direct := make(chan *primarylease.Record, 1)
+	go func() {
+		defer close(direct)
+		if record, ok := r.direct.RecentRecord(); ok {
+			r.failedAt.Store(0)
+			direct <- &record
+			return
+		}
 		r.failedAt.Store(int64(boottime.Now()))
+	}()
+	timer := time.NewTimer(storeHeadStart)
+	defer timer.Stop()
+	select {
+	case record := <-direct:
+		if record != nil {
+			return *record, nil
+		}
+	case <-timer.C:
+	}
+	if record, err := r.readOtherDomain(); err == nil {
+		return record, nil
+	}
+	if record := <-direct; record != nil {
+		return *record, nil
+	}
+	return primarylease.Record{}, errNoSource
+}
+
+// readOtherDomain reads the intents from a relay of another failure domain, which the store
+// may serve although it refuses this VM. The age that the relay reports counts, as for any
+// relay. After a failure it returns errNoSource for intentReadPause.
+func (r *relayIntentReader) readOtherDomain() (primarylease.Record, error) {
+	relay := r.relays.NearestOtherRelay()
+	if failed := r.otherFailedAt.Load(); relay == nil || failed != 0 && boottime.Now()-time.Duration(failed) < intentReadPause {
 		return primarylease.Record{}, errNoSource
 	}
-	r.failedAt.Store(0)
+	record, err := relay.Intents()
+	if err != nil {
+		r.otherFailedAt.Store(int64(boottime.Now()))
+		return primarylease.Record{}, fmt.Errorf("%w: %w", errNoSource, err)
+	}
 	return record, nil
 }
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// isCurrent reports whether the copy counts as current.
+func (m *mirror) isCurrent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentAsOf != 0 && boottime.Now() < m.currentAsOf+m.maxAge
+}
+
 // watch answers a follower with the changes after from, or with all objects if the mirror
 // does not know all removals since then. It waits for a change until ctx ends or the copy
 // is no longer current; Known in the response reports whether the copy is current.
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -132,7 +132,7 @@
 		defer func() { _ = l.Close() }()
 		relayMirror := newMirror(time.Second)
 		go (&peer.Server{Name: "relay", Objects: mirrors{"things": relayMirror}}).Serve(l)
-		relays := &fixedRelay{peer.NewClient("follower", "relay", l.Addr().String(), nopObserver{})}
+		relays := &fixedRelay{peer.NewClient(peer.Identity{Name: "follower"}, "relay", l.Addr().String(), nopObserver{})}
 		defer relays.client.Close()
 		calls := func(r RelaySelector) int64 {
 			s := &failingStore{}
@@ -160,7 +160,7 @@
 		So(err, ShouldBeNil)
 		defer func() { _ = l.Close() }()
 		go (&peer.Server{Name: "relay"}).Serve(l)
-		relays := &fixedRelay{peer.NewClient("follower", "relay", l.Addr().String(), nopObserver{})}
+		relays := &fixedRelay{peer.NewClient(peer.Identity{Name: "follower"}, "relay", l.Addr().String(), nopObserver{})}
 		defer relays.client.Close()
 		s := &failingStore{}
 		intents := &relayIntentReader{relays: relays, direct: primarylease.New(s)}
@@ -178,6 +178,10 @@
 
 func (f *fixedRelay) Relay() *peer.Client { return f.client }
 
+func (f *fixedRelay) RelayOutdated(string) {}
+
+func (f *fixedRelay) NearestOtherRelay() *peer.Client { return nil }
+
 // nopObserver is a peer.Observer that does nothing.
 type nopObserver struct{}
 
@@ -197,7 +201,7 @@
 		defer func() { _ = l.Close() }()
 		go (&peer.Server{Name: "first", Objects: mirrors{"things": first}}).Serve(l)
 
-		relays := &fixedRelay{peer.NewClient("second", "first", l.Addr().String(), nopObserver{})}
+		relays := &fixedRelay{peer.NewClient(peer.Identity{Name: "second"}, "first", l.Addr().String(), nopObserver{})}
 		second := newMirror(time.Second)
 		f := &feed{
 			kind: "things", relays: relays, mirror: second, wait: time.Second, log: eventlog.New(),
@@ -223,3 +227,35 @@
 		So(r.Page.Objects, ShouldHaveLength, 2)
 	})
 }
+
+// waitRecorder is a store whose watches return at once and record how long they were to
+// wait.
+type waitRecorder struct{ waits chan time.Duration }
+
+func (w *waitRecorder) List(context.Context, store.Kind) (store.Page, error) {
+	return store.Page{}, store.ErrUnavailable
+}
+
+func (w *waitRecorder) Watch(ctx context.Context, _ store.Kind, from store.Revision, wait time.Duration) (store.Page, error) {
+	select {
+	case w.waits <- wait:
+	case <-ctx.Done():
+	}
+	return store.Page{Revision: from}, nil
+}
+
+// Guards against a new relay that serves its followers only after its first watch has
+// waited for a change; they called the store themselves meanwhile.
+func TestFirstWatchOfRelay(t *testing.T) {
+	Convey("A new relay has a current copy after one call that does not wait", t, func() {
+		recorder := &waitRecorder{waits: make(chan time.Duration)}
+		f := &feed{kind: "things", objects: recorder, mirror: newMirror(time.Second), wait: time.Second, log: eventlog.New(), onChange: func(store.Object) {}}
+		f.mirror.replace(fromRelay, store.Page{Revision: 5})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.runFrom(ctx, 5)
+		So(<-recorder.waits, ShouldEqual, 0)
+		So(<-recorder.waits, ShouldEqual, time.Second)
+		So(f.mirror.isCurrent(), ShouldBeTrue)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	n.mirrors = mirrors{
 		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
 	}
-	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerResponded}
+	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerConnected}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
@@ -190,6 +190,7 @@
 	n.loops.Go(n.servePromotionLock)
 	n.loops.Go(func() { n.vmFeed().run(n.ctx) })
 	n.loops.Go(func() { n.members.Run(n.ctx) })
+	n.loops.Go(func() { n.members.Introduce(n.ctx, n.peerServer.ConnectedPeers) })
 	n.loops.Go(func() { n.members.KeepRegistered(n.ctx, n.store) })
 	n.loops.Go(func() { n.members.PruneRegistrations(n.ctx, n.store) })
 	n.loops.Go(func() { n.peerServer.Serve(n.peerListener) })
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -22,10 +22,19 @@
 	PeerLeaving(name string)
 }
 
+// Identity is what a daemon tells its peers of itself.
+type Identity struct {
+	Name string
+	// Address is the address at which the daemon accepts peers, as host:port. It is empty
+	// if they need not know it.
+	Address string
+}
+
 // Client opens units at one other daemon. It is safe for concurrent use.
 type Client struct {
-	self, name, address string
-	observer            Observer
+	self          Identity
+	name, address string
+	observer      Observer
 
 	mu           sync.Mutex
 	conn         *clientConn // guarded by mu
@@ -34,8 +43,8 @@
 }
 
 // NewClient returns a client of the daemon name at address, given as host:port. self is
-// the name of this daemon. No connection is made before the first call.
-func NewClient(self, name, address string, o Observer) *Client {
+// this daemon. No connection is made before the first call.
+func NewClient(self Identity, name, address string, o Observer) *Client {
 	return &Client{self: self, name: name, address: address, observer: o}
 }
 
@@ -103,7 +112,7 @@
 	if err := w.conn.SetReadDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return err
 	}
-	if err := w.write(hello{Version: Version, Name: c.self, To: c.name}); err != nil {
+	if err := w.write(hello{Version: Version, Name: c.self.Name, Address: c.self.Address, To: c.name}); err != nil {
 		return err
 	}
 	var h hello
@@ -116,6 +125,13 @@
 	return w.conn.SetReadDeadline(time.Time{})
 }
 
+// Connect makes sure that there is a connection to the peer, by which the peer learns of
+// this daemon.
+func (c *Client) Connect() error {
+	_, err := c.connect()
+	return err
+}
+
 // Close closes the connection, if any. Pending calls are lost.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -25,6 +25,8 @@
 	// To is the name of the expected daemon. An address may since have been reused by
 	// another daemon.
 	To string `cbor:"3,keyasint,omitempty"`
+	// Address is the address at which the sender accepts peers; empty if it is not told.
+	Address string `cbor:"4,keyasint,omitempty"`
 }
 
 // request is a frame from the client to the server.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -84,7 +84,7 @@
 	go s.Serve(l)
 	t.Cleanup(func() { _ = l.Close() })
 	observer := &recordingObserver{}
-	c := NewClient("entry", name, l.Addr().String(), observer)
+	c := NewClient(Identity{Name: "entry"}, name, l.Addr().String(), observer)
 	t.Cleanup(c.Close)
 	return c, observer
 }
@@ -152,7 +152,7 @@
 func TestLostPeers(t *testing.T) {
 	Convey("A call to an address without a listener is not run", t, func() {
 		observer := &recordingObserver{}
-		c := NewClient("entry", "home", "127.0.0.1:1", observer)
+		c := NewClient(Identity{Name: "entry"}, "home", "127.0.0.1:1", observer)
 		So(c.Open(stmtunit.Header{}).Run(newCall("a")).Outcome, ShouldEqual, stmtunit.NotRun)
 		lost, _ := observer.counts()
 		So(lost, ShouldEqual, 1)
@@ -180,7 +180,7 @@
 			// Stop reading, like a suspended process.
 		}()
 		observer := &recordingObserver{}
-		c := NewClient("entry", "home", l.Addr().String(), observer)
+		c := NewClient(Identity{Name: "entry"}, "home", l.Addr().String(), observer)
 		defer c.Close()
 		began := time.Now()
 		So(c.Open(stmtunit.Header{}).Run(newCall("a")).Outcome, ShouldEqual, stmtunit.Lost)
@@ -206,7 +206,7 @@
 		}()
 		defer func() { _ = l.Close() }()
 		observer := &slowObserver{}
-		c := NewClient("entry", "home", l.Addr().String(), observer)
+		c := NewClient(Identity{Name: "entry"}, "home", l.Addr().String(), observer)
 		defer c.Close()
 		So(c.Open(stmtunit.Header{}).Run(newCall("a")).Outcome, ShouldEqual, stmtunit.Lost)
 		lost, _ := observer.counts()
@@ -219,7 +219,7 @@
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		defer func() { _ = l.Close() }()
-		c := NewClient("entry", "home", l.Addr().String(), &recordingObserver{})
+		c := NewClient(Identity{Name: "entry"}, "home", l.Addr().String(), &recordingObserver{})
 		began := time.Now()
 		var wg sync.WaitGroup
 		var run atomic.Int64
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,8 +17,8 @@
 type Server struct {
 	Name   string
 	Opener stmtunit.Opener
-	// OnPeerConnected is called with the name of each daemon that connects; it may be nil.
-	OnPeerConnected func(name string)
+	// OnPeerConnected is called for each daemon that connects; it may be nil.
+	OnPeerConnected func(peer Identity)
 	// Objects and Intents answer the requests to a relay. They are nil if this daemon is no
 	// relay.
 	Objects ObjectWatcher
@@ -36,6 +36,8 @@
 type serverConn struct {
 	server *Server
 	frames *frameConn
+	// peer is the name of the connected daemon.
+	peer string
 
 	mu    sync.Mutex
 	units map[uint64]*servedUnit // guarded by mu
@@ -85,6 +87,17 @@
 	}
 }
 
+// ConnectedPeers returns the names of the daemons that are connected to this one.
+func (s *Server) ConnectedPeers() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make(map[string]bool, len(s.conns))
+	for c := range s.conns {
+		names[c.peer] = true
+	}
+	return names
+}
+
 // OpenUnits returns the number of open units of other daemons.
 func (s *Server) OpenUnits() int {
 	return int(s.openUnits.Load())
@@ -127,8 +140,9 @@
 		return fmt.Errorf("peer %q with protocol version %d expects daemon %q", h.Name, h.Version, h.To)
 	}
 	if c.server.OnPeerConnected != nil {
-		c.server.OnPeerConnected(h.Name)
+		c.server.OnPeerConnected(Identity{Name: h.Name, Address: h.Address})
 	}
+	c.peer = h.Name
 	return c.frames.conn.SetReadDeadline(time.Time{})
 }
 
