Get the lists of a first start from one daemon of each failure domain

At the first start (settings, bootstrap) the first daemon of each failure domain now names itself in the store; the others learn of it from the refused write and follow it for 2 s, while all register. All turn to the relay at the same time, and a follower waits up to 0.15 s for a new relay's first answer. Other starts list as before, since recovery is what counts there.

--- a/internal/membership/introduction.go
+++ b/internal/membership/introduction.go
@@ -20,7 +20,7 @@
 // that it can start while the store serves others but not this VM.
 func (m *Members) PeerConnected(p peer.Identity) {
 	m.PeerResponded(p.Name)
-	if m.Known() || p.Address == "" {
+	if m.Known() || m.joining() || p.Address == "" {
 		return
 	}
 	m.contact.Store(peer.NewClient(m.identity(), p.Name, p.Address, m))
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -51,6 +51,9 @@
 	// contact is the client of a daemon that connected to this one before known was set;
 	// nil if there is none.
 	contact atomic.Pointer[peer.Client]
+	// joinUntil is when the founder ceases to act as relay, in Unix nanoseconds; 0 if there
+	// is no founder.
+	joinUntil atomic.Int64
 
 	mu         sync.Mutex
 	tracker    *fleet.Tracker          // guarded by mu
@@ -167,10 +170,10 @@
 }
 
 // Relay returns the client of the relay of this failure domain, nil if this daemon is the
-// relay or the domain has no usable VM. As long as the VMs are not known, it is the
-// contact, if there is one.
+// relay or the domain has no usable VM. As long as the VMs are not known, or the founder
+// acts as relay, it is the contact, if there is one.
 func (m *Members) Relay() *peer.Client {
-	if !m.Known() {
+	if !m.Known() || m.joining() {
 		return m.contact.Load()
 	}
 	relay, ok := m.selectRelay(m.view.Load().Relays(m.self.FailureDomain))
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -240,3 +240,32 @@
 		So(a.NearestOtherRelay().Name(), ShouldEqual, "s")
 	})
 }
+
+// founderStore is a store that lets a daemon connect to m before it answers a Put.
+type founderStore struct {
+	Objects
+	m *Members
+}
+
+func (s founderStore) Put(_ context.Context, o store.Object) (store.Object, error) {
+	s.m.PeerConnected(peer.Identity{Name: "b", Address: "10.0.0.2:7440"})
+	return o, nil
+}
+
+// Guards against a founder that follows a daemon that learned of it sooner than it did
+// itself; both waited for each other, and the whole failure domain for them.
+func TestFounder(t *testing.T) {
+	Convey("A founder follows nobody, even if others connect before it knows that it is the founder", t, func() {
+		m := newMembers("a")
+		So(m.Found(context.Background(), founderStore{m: m}), ShouldBeNil)
+		So(m.Relay(), ShouldBeNil)
+		So(m.JoiningFor(), ShouldBeGreaterThan, 0)
+	})
+	Convey("A daemon without a known VM follows the one that connected to it", t, func() {
+		m := newMembers("a")
+		m.PeerConnected(peer.Identity{Name: "b", Address: "10.0.0.2:7440"})
+		So(m.Relay().Name(), ShouldEqual, "b")
+		m.Replace([]store.Object{registrationObject("a", "10.0.0.1:7440", "north")})
+		So(m.Relay(), ShouldBeNil)
+	})
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -24,6 +24,9 @@
 	nodes           []*Node
 	// version is the version of the last configuration.
 	version int
+	// firstStart makes daemons started from now on take part in the first start of the
+	// system.
+	firstStart bool
 	// refusingStore is the address of a store that refuses all calls; daemons started from
 	// now on use it if it is set.
 	refusingStore string
@@ -115,8 +118,8 @@
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
 		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()},
-		"platform": map[string]any{"addr": storeAddress, "form": "objects"},
-		"cloud":    map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
+		"bootstrap": tc.firstStart, "platform": map[string]any{"addr": storeAddress, "form": "objects"},
+		"cloud": map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -54,6 +54,9 @@
 	// RelayOutdated records that a relay had no current copy, so that another one is
 	// followed.
 	RelayOutdated(name string)
+	// JoiningFor returns how much longer the founder of the failure domain acts as its relay,
+	// not positive if it does not.
+	JoiningFor() time.Duration
 	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
 	// none is known.
 	NearestOtherRelay() *peer.Client
@@ -123,7 +126,13 @@
 	relay := f.relay()
 	f.logSourceChange(relay)
 	if relay != nil {
-		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from, Wait: f.wait})
+		joiningFor := f.relays.JoiningFor()
+		wait := f.wait
+		if joiningFor > 0 {
+			// All daemons turn from the founder to the relay at the same time.
+			wait = min(wait, joiningFor)
+		}
+		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from, Wait: wait})
 		if err == nil {
 			f.fallbackPause, f.nextFallback = 0, 0
 			// This daemon may become the relay; its copy must be complete then.
@@ -138,7 +147,7 @@
 		if errors.Is(err, peer.ErrNotCurrent) {
 			f.relays.RelayOutdated(relay.Name())
 		}
-		if from != 0 && boottime.Now() < f.nextFallback {
+		if joiningFor > 0 || from != 0 && boottime.Now() < f.nextFallback {
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
--- a/internal/node/fleet_start_test.go
+++ b/internal/node/fleet_start_test.go
@@ -102,3 +102,37 @@
 		So(late.members.Known(), ShouldBeFalse)
 	})
 }
+
+// Guards against a first start in which every daemon gets every list from the store: 780
+// calls and more than 400 watches for 195 daemons.
+func TestFirstStart(t *testing.T) {
+	Convey("At the first start the store is called twice per daemon, and a few times per failure domain", t, func() {
+		tc := newTestCluster(t)
+		tc.firstStart = true
+		const perZone = 6
+		var nodes []*Node
+		for i := range perZone * len(testZones) {
+			nodes = append(nodes, tc.start(fmt.Sprintf("vm-%d", i), testZones[i%len(testZones)]))
+		}
+		for _, n := range nodes {
+			tc.eventually(5*time.Second, "the daemons are ready", n.Ready)
+		}
+		const perDomain = 8
+		lists := tc.store.CallCount("GET config") + tc.store.CallCount("GET servers")
+		So(lists, ShouldBeLessThanOrEqualTo, perDomain*len(testZones))
+		So(tc.store.CallCount("POST "+string(membership.KindFounder)), ShouldEqual, len(nodes))
+		for _, n := range nodes {
+			tc.eventually(3*time.Second, "the daemons know each other", func() bool {
+				return len(n.members.Openers("grp")) > 0 && n.members.Known()
+			})
+		}
+		So(tc.connect(nodes[len(nodes)-1], dbCurrent).Query("WRITE k v").OK(), ShouldBeTrue)
+	})
+	Convey("A daemon whose founder is gone starts by itself", t, func() {
+		tc := newTestCluster(t)
+		tc.store.Put(string(membership.KindFounder), testZones[0], map[string]any{"name": "vm-gone", "address": "127.0.0.1:1"})
+		tc.firstStart = true
+		n := tc.start("vm-0", testZones[0])
+		tc.eventually(5*time.Second, "the daemon is ready", n.Ready)
+	})
+}
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -92,36 +92,59 @@
 }
 
 // advance records the time and revision of a page, and wakes the waiting followers if
-// the revision has grown. m.mu must be held.
+// the revision has grown or the copy has become current. m.mu must be held.
 func (m *mirror) advance(asOf time.Duration, revision store.Revision) {
+	becomesCurrent := asOf != fromRelay && m.currentFor() <= 0
 	if asOf != fromRelay {
 		m.currentAsOf = asOf
 	}
 	if revision > m.revision {
 		m.revision = revision
 		m.pruneTombstones()
-		close(m.changed)
-		m.changed = make(chan struct{})
+	} else if !becomesCurrent {
+		return
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// currentFor returns how much longer the copy counts as current; it is not positive if it
+// does not. m.mu must be held.
+func (m *mirror) currentFor() time.Duration {
+	if m.currentAsOf == 0 {
+		return 0
 	}
+	return m.currentAsOf + m.maxAge - boottime.Now()
 }
 
 // isCurrent reports whether the copy counts as current.
 func (m *mirror) isCurrent() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.currentAsOf != 0 && boottime.Now() < m.currentAsOf+m.maxAge
+	return m.currentFor() > 0
 }
 
+// takeoverGrace is how long a follower waits at a relay that has just become one, for the
+// answer to the relay's first call to the store.
+const takeoverGrace = 150 * time.Millisecond
+
 // watch answers a follower with the changes after from, or with all objects if the mirror
 // does not know all removals since then. It waits for a change until ctx ends or the copy
-// is no longer current; Known in the response reports whether the copy is current.
+// is no longer current; Current in the response reports whether the copy is current. A
+// copy that is not current at first may become so within takeoverGrace.
 func (m *mirror) watch(ctx context.Context, from store.Revision) peer.WatchResponse {
+	graceEnd := boottime.Now() + takeoverGrace
 	for {
 		m.mu.Lock()
-		remaining := m.currentAsOf + m.maxAge - boottime.Now()
-		current := m.currentAsOf != 0 && remaining > 0
+		remaining := m.currentFor()
+		current := remaining > 0
+		if !current {
+			remaining = graceEnd - boottime.Now()
+		} else {
+			graceEnd = 0
+		}
 		changed := m.changed
-		if !current || from < m.revision || ctx.Err() != nil {
+		if remaining <= 0 || current && from < m.revision || ctx.Err() != nil {
 			r := m.changesSince(from)
 			r.Current = current
 			m.mu.Unlock()
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -180,6 +180,8 @@
 
 func (f *fixedRelay) RelayOutdated(string) {}
 
+func (f *fixedRelay) JoiningFor() time.Duration { return 0 }
+
 func (f *fixedRelay) NearestOtherRelay() *peer.Client { return nil }
 
 // nopObserver is a peer.Observer that does nothing.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,11 +184,9 @@
 // Start starts the feeds and servers in the background and serves callers until Stop.
 func (n *Node) Start(context.Context) error {
 	n.log.StateChange("started", "version", buildinfo.Version(), "failure_domain", n.settings.FailureDomain, "callers", n.settings.CallerAddress.String())
-	n.loops.Go(func() { n.configurationFeed().run(n.ctx) })
-	n.loops.Go(func() { n.targetFeed().run(n.ctx) })
+	n.loops.Go(n.follow)
 	n.loops.Go(func() { n.registry.Run(n.ctx) })
 	n.loops.Go(n.servePromotionLock)
-	n.loops.Go(func() { n.vmFeed().run(n.ctx) })
 	n.loops.Go(func() { n.members.Run(n.ctx) })
 	n.loops.Go(func() { n.members.Introduce(n.ctx, n.peerServer.ConnectedPeers) })
 	n.loops.Go(func() { n.members.KeepRegistered(n.ctx, n.store) })
@@ -204,6 +202,19 @@
 	return nil
 }
 
+// follow runs the feeds until the node ends. At the first start of the system it looks for
+// the founder of the failure domain before.
+func (n *Node) follow() {
+	if n.settings.FirstStart {
+		if err := n.members.Found(n.ctx, n.store); err != nil {
+			n.log.StateChange("founder_unknown", "error", err.Error())
+		}
+	}
+	for _, f := range []*feed{n.configurationFeed(), n.targetFeed(), n.vmFeed()} {
+		n.loops.Go(func() { f.run(n.ctx) })
+	}
+}
+
 // serveHTTP serves until s is closed; another error is logged.
 func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
