Let the stand-in's replicas receive what a primary committed before its demotion

Its replicas copy the log of the newest primary; after DEMOTE there is none, so commits that were on their way never arrived, and the promoter's wait for a replica that has the end of the log (failover.awaitCatchUp) ended without one.

--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -246,3 +246,51 @@
 		So(other.Query("READ a").OK(), ShouldBeTrue)
 	})
 }
+
+// TestHandoverUnderWrites plays a planned replacement while callers write and the replicas
+// receive each commit late, so that the primary is demoted with commits on their way.
+func TestHandoverUnderWrites(t *testing.T) {
+	Convey("No acknowledged write is lost when a primary under writes hands over", t, func() {
+		tc := newTestCluster(t, "north", "south")
+		const lag, writers = 60 * time.Millisecond, 3
+		for _, replica := range []int{1, 2} {
+			tc.group.SetLag(replica, lag)
+		}
+		var acknowledged sync.Map
+		var wg sync.WaitGroup
+		ended := make(chan struct{})
+		for w := range writers {
+			c := tc.connect(tc.nodes[w%len(tc.nodes)], dbCurrent)
+			wg.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-ended:
+						return
+					default:
+					}
+					item := fmt.Sprintf("w%d-%d", w, i)
+					if c.Query("WRITE " + item + " v").OK() {
+						acknowledged.Store(item, true)
+					}
+					time.Sleep(8 * time.Millisecond)
+				}
+			})
+		}
+		tc.group.Drain(0)
+		tc.eventually(8*time.Second, "a replica leads", func() bool {
+			_, term := tc.group.Primary()
+			return term > 1
+		})
+		time.Sleep(handoverDuration)
+		close(ended)
+		wg.Wait()
+		var lost []string
+		acknowledged.Range(func(item, _ any) bool {
+			if len(tc.group.Committed(item.(string))) == 0 {
+				lost = append(lost, item.(string))
+			}
+			return true
+		})
+		So(lost, ShouldBeEmpty)
+	})
+}
--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -30,6 +30,8 @@
 	// refusedConnections counts connections to targets at MaxConnections.
 	peakConnections    int
 	refusedConnections int
+	// demoted is the target that was demoted last; nil before the first demotion.
+	demoted *Target
 	// stopped is closed when the group closes.
 	stopped chan struct{}
 }
@@ -117,11 +119,21 @@
 	}
 }
 
-// copyLogs copies the log of the newest primary to every reachable target that is not
+// replicationSource returns the target whose log the replicas receive: the newest primary
+// or, if there is none, the target that was demoted last, whose commits are still on
+// their way. It returns nil if there is neither. The caller holds mu.
+func (g *Group) replicationSource() *Target {
+	if p := g.newestPrimary(); p != nil {
+		return p
+	}
+	return g.demoted
+}
+
+// copyLogs copies the log of the replication source to every reachable target that is not
 // held for a later term. A target of an older term becomes a replica of the new term.
 // The caller holds mu.
 func (g *Group) copyLogs(now time.Time) {
-	p := g.newestPrimary()
+	p := g.replicationSource()
 	if p == nil || p.partitioned || p.down {
 		return
 	}
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -227,6 +227,9 @@
 		return t.status()
 	case "DEMOTE":
 		if term, _ := strconv.ParseUint(f[1], 10, 64); term > t.term {
+			if t.primary {
+				t.group.demoted = t
+			}
 			t.primary = false
 		}
 		return t.status()
