Wait for a common home in TestKilledHome

The test's assumption, not the product: daemons that have just started may not know each other, and then each runs its own units (the counters of opened connections were above zero on both, and the row of the surviving daemon was committed by itself). The test took the first daemon that had opened a connection for the home of both.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -321,19 +321,15 @@
 	ctx := t.Context()
 	vms := d.fleet.VMs
 	// vm0 and vm2 are in one failure domain, and one of them is the home of s.d for
-	// both. Each opens a transaction before the home is killed.
+	// both, as soon as they know each other. Each opens a transaction before the home is
+	// killed.
 	conns := map[*bench.FleetVM]*pgx.Conn{}
-	transactions := map[*bench.FleetVM]pgx.Tx{}
 	for _, vm := range []*bench.FleetVM{vms[0], vms[2]} {
 		conn, err := d.connect(ctx, vm)
 		d.requireNoError(err)
-		tx, err := conn.Begin(ctx)
-		d.requireNoError(err)
-		_, err = tx.Exec(ctx, "INSERT INTO orders (id, bin) VALUES ($1, 'tx')", vm.Name)
-		d.requireNoError(err)
-		conns[vm], transactions[vm] = conn, tx
+		conns[vm] = conn
 	}
-	home := d.homeOf(vms[0], vms[2])
+	home, transactions := d.beginAtCommonHome(ctx, conns)
 	other := vms[0]
 	if home == other {
 		other = vms[2]
@@ -356,18 +352,52 @@
 	}
 }
 
-// homeOf returns the VM that is the home of the group for the given VMs: the one that
-// opened connections to targets.
-func (d *deployment) homeOf(vms ...*bench.FleetVM) *bench.FleetVM {
+// commonHomeTimeout is how long the daemons of a failure domain may take to agree on the
+// home of a group.
+const commonHomeTimeout = 10 * time.Second
+
+// beginAtCommonHome begins a transaction on each connection and inserts the name of its VM.
+// It returns the VM that runs all of them as the home of the group, and the transactions.
+// While each VM runs its own, it rolls them back and begins again.
+func (d *deployment) beginAtCommonHome(ctx context.Context, conns map[*bench.FleetVM]*pgx.Conn) (*bench.FleetVM, map[*bench.FleetVM]pgx.Tx) {
 	d.t.Helper()
-	for _, vm := range vms {
-		counters, _ := bench.Scrape(d.t.Context(), []string{vm.Admin}, "laburnumrack_home_connections_opened_total")
-		if counters["laburnumrack_home_connections_opened_total"] > 0 {
-			return vm
+	for started := time.Now(); time.Since(started) < commonHomeTimeout; time.Sleep(50 * time.Millisecond) {
+		before := homeBatches(ctx, conns)
+		transactions := map[*bench.FleetVM]pgx.Tx{}
+		for vm, conn := range conns {
+			tx, err := conn.Begin(ctx)
+			d.requireNoError(err)
+			_, err = tx.Exec(ctx, "INSERT INTO orders (id, bin) VALUES ($1, 'tx')", vm.Name)
+			d.requireNoError(err)
+			transactions[vm] = tx
+		}
+		var homes []*bench.FleetVM
+		for vm, batches := range homeBatches(ctx, conns) {
+			if batches > before[vm] {
+				homes = append(homes, vm)
+			}
+		}
+		if len(homes) == 1 {
+			return homes[0], transactions
+		}
+		for _, tx := range transactions {
+			d.requireNoError(tx.Rollback(ctx))
+		}
+	}
+	d.t.Fatal("the VMs of a failure domain did not agree on a home")
+	return nil, nil
+}
+
+// homeBatches returns how many batches each VM has run as a home.
+func homeBatches(ctx context.Context, conns map[*bench.FleetVM]*pgx.Conn) map[*bench.FleetVM]float64 {
+	batches := map[*bench.FleetVM]float64{}
+	for vm := range conns {
+		counters, _ := bench.Scrape(ctx, []string{vm.Admin}, "laburnumrack_home_batches_total")
+		for _, n := range counters {
+			batches[vm] += n
 		}
 	}
-	d.t.Fatal("no VM opened connections as the home")
-	return nil
+	return batches
 }
 
 // TestStartInOutage guards against a daemon that cannot start or serve while the object
