Keep several contacts, and date the founder's time as relay since boot

On reading the change again: the time of day may step, and the founder's two seconds as relay were counted by it; they are counted since boot now. Any daemon may connect to one that knows no VMs, not only the relay, and a later one displaced it; several contacts are kept, and one that has no current copy is passed over (membership.TestFounder).

--- a/internal/membership/founding.go
+++ b/internal/membership/founding.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/store"
 )
@@ -43,7 +44,7 @@
 		return fmt.Errorf("encode founder: %w", err)
 	}
 	// Other daemons may connect to the founder before it knows that it is the founder.
-	m.joinUntil.Store(time.Now().Add(joinTime).UnixNano())
+	m.joinUntil.Store(int64(boottime.Now() + joinTime))
 	known, err := putFounder(ctx, objects, store.Object{Key: store.Key{Kind: KindFounder, Name: m.self.FailureDomain}, Value: value})
 	if err != nil {
 		m.joinUntil.Store(0)
@@ -51,7 +52,7 @@
 	}
 	m.log.StateChange("founder_known", "peer", known.Name, "address", known.Address)
 	if known.Name != m.self.Name {
-		m.contact.Store(peer.NewClient(m.identity(), known.Name, known.Address, m))
+		m.addContact(peer.Identity{Name: known.Name, Address: known.Address})
 	}
 	return nil
 }
@@ -78,7 +79,7 @@
 // JoiningFor returns how much longer the founder acts as relay of this failure domain, not
 // positive if it does not.
 func (m *Members) JoiningFor() time.Duration {
-	return time.Duration(m.joinUntil.Load() - time.Now().UnixNano())
+	return time.Duration(m.joinUntil.Load()) - boottime.Now()
 }
 
 // joining reports whether the founder acts as relay of this failure domain.
--- a/internal/membership/introduction.go
+++ b/internal/membership/introduction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/peer"
@@ -23,10 +24,40 @@
 	if m.Known() || m.joining() || p.Address == "" {
 		return
 	}
-	m.contact.Store(peer.NewClient(m.identity(), p.Name, p.Address, m))
+	m.addContact(p)
 	m.log.StateChange("contact_found", "peer", p.Name, "address", p.Address)
 }
 
+// maxContacts is the number of contacts that are kept.
+const maxContacts = 8
+
+// addContact adds a contact, and drops the oldest one if there are more than maxContacts.
+func (m *Members) addContact(p peer.Identity) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contacts = append(m.contacts, peer.NewClient(m.identity(), p.Name, p.Address, m))
+	if len(m.contacts) > maxContacts {
+		m.contacts = slices.Delete(m.contacts, 0, 1)
+	}
+}
+
+// contact returns the newest contact that counts as having a current copy, and the newest
+// one if none does; nil if there is none. Any daemon may connect, not only the relay.
+func (m *Members) contact() *peer.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, c := range slices.Backward(m.contacts) {
+		if now.After(m.outdatedUntil[c.Name()]) {
+			return c
+		}
+	}
+	if len(m.contacts) == 0 {
+		return nil
+	}
+	return m.contacts[len(m.contacts)-1]
+}
+
 // Introduce connects, at intervals until ctx ends, to the usable VMs of this failure domain
 // that are not connected to this daemon, as long as it is their relay. connected returns
 // the names of the daemons that are.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,17 +48,17 @@
 	view    atomic.Pointer[fleet.View]
 	// known is set by the first list of registrations.
 	known atomic.Bool
-	// contact is the client of a daemon that connected to this one before known was set;
-	// nil if there is none.
-	contact atomic.Pointer[peer.Client]
-	// joinUntil is when the founder ceases to act as relay, in Unix nanoseconds; 0 if there
-	// is no founder.
+	// joinUntil is when the founder ceases to act as relay, in nanoseconds since boot; 0 if
+	// there is no founder.
 	joinUntil atomic.Int64
 
 	mu         sync.Mutex
 	tracker    *fleet.Tracker          // guarded by mu
 	registered map[string]registeredVM // guarded by mu
 	clients    map[string]*peer.Client // guarded by mu; by address
+	// contacts are the founder and the daemons that connected to this one before known was
+	// set, the newest last.
+	contacts []*peer.Client // guarded by mu
 	// outdatedUntil maps a relay to the time until which it counts as without a current
 	// copy.
 	outdatedUntil map[string]time.Time // guarded by mu
@@ -174,7 +174,7 @@
 // acts as relay, it is the contact, if there is one.
 func (m *Members) Relay() *peer.Client {
 	if !m.Known() || m.joining() {
-		return m.contact.Load()
+		return m.contact()
 	}
 	relay, ok := m.selectRelay(m.view.Load().Relays(m.self.FailureDomain))
 	if !ok || relay.Name == m.self.Name {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -261,10 +261,13 @@
 		So(m.Relay(), ShouldBeNil)
 		So(m.JoiningFor(), ShouldBeGreaterThan, 0)
 	})
-	Convey("A daemon without a known VM follows the one that connected to it", t, func() {
+	Convey("A daemon without a known VM follows one that connected to it, and another one if that has no current copy", t, func() {
 		m := newMembers("a")
 		m.PeerConnected(peer.Identity{Name: "b", Address: "10.0.0.2:7440"})
 		So(m.Relay().Name(), ShouldEqual, "b")
+		m.PeerConnected(peer.Identity{Name: "d", Address: "10.0.1.1:7440"})
+		m.RelayOutdated("d")
+		So(m.Relay().Name(), ShouldEqual, "b")
 		m.Replace([]store.Object{registrationObject("a", "10.0.0.1:7440", "north")})
 		So(m.Relay(), ShouldBeNil)
 	})
