--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -124,6 +124,11 @@
 	return nil
 }
 
+// ListComplete reports whether the list of targets can be taken as complete.
+func (g *Group) ListComplete() bool {
+	return g.listComplete()
+}
+
 // listedPrimaries returns the targets that are listed as primary and are not draining.
 func (g *Group) listedPrimaries() []*Target {
 	var out []*Target
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
+	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
 // unlistedRetention is how long a target is kept after it left the list: its entry may
@@ -56,6 +57,9 @@
 	// listCompleteAt is the time since boot from which the last list counts as complete;
 	// 0 before the first list.
 	listCompleteAt atomic.Int64
+	// keepComplete is set if the next list replaces a complete one that was current until
+	// the store began a new era.
+	keepComplete atomic.Bool
 
 	mu         sync.Mutex
 	groupAdded chan struct{}           // guarded by mu; closed when a group is added
@@ -82,6 +86,16 @@
 	return g
 }
 
+// Groups returns all groups that have been declared or listed.
+func (r *Registry) Groups() []*Group {
+	var out []*Group
+	r.groups.Range(func(_ string, g *Group) bool {
+		out = append(out, g)
+		return true
+	})
+	return out
+}
+
 // NewestPosition returns the newest sample of the position of a group's primary. It
 // implements peer.PositionSource.
 func (r *Registry) NewestPosition(group string) (freshness.Sample, bool) {
@@ -147,9 +161,25 @@
 	return at != 0 && int64(boottime.Now()) >= at
 }
 
+// maxListGap is the longest time since the last answer of an earlier era after which a list
+// that was complete stays so. It covers a store that is away for a moment.
+const maxListGap = 6 * time.Second
+
+// BeginEra prepares for the first list of a new era of the store, which may lack targets
+// that were listed in the last seconds of the earlier one. sinceAnswer is the time since the
+// last answer of that era. Targets that the list lacks are kept for unlistedRetention, so a
+// list that was complete until shortly before stays complete.
+func (r *Registry) BeginEra(era store.Era, sinceAnswer time.Duration) {
+	complete := r.listComplete() && sinceAnswer <= maxListGap
+	r.keepComplete.Store(complete)
+	r.Log.StateChange("targets_doubtful", "era", era.String(), "complete", complete, "since_answer_ms", sinceAnswer.Milliseconds())
+}
+
 // SetTargets replaces the list of targets.
 func (r *Registry) SetTargets(targets []catalog.Target) {
-	r.listCompleteAt.Store(int64(boottime.Now() + listSettleTime))
+	if !r.keepComplete.Swap(false) {
+		r.listCompleteAt.Store(int64(boottime.Now() + listSettleTime))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make(map[string]bool, len(targets))
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +29,7 @@
 
 // soak is a fleet of daemon processes on the stand-in of the users' platform.
 type soak struct {
+	soakOptions
 	t          *testing.T
 	store      *site.Store
 	group      *site.Group
@@ -39,16 +40,23 @@
 	acknowledged atomic.Int64
 	// served counts the successful requests.
 	served atomic.Int64
-	mu     sync.Mutex
+	// writing is held for reading by each write, so that a crash of the primary can wait
+	// until the replicas have what was acknowledged.
+	writing sync.RWMutex
+	mu      sync.Mutex
 	// violations holds the violated guarantees. It is guarded by mu.
 	violations []string
 }
 
 // vm is one daemon with the settings file to restart it.
 type vm struct {
+	name          string
+	settings      map[string]any
 	settingsPath  string
 	callerAddress string
 	process       *exec.Cmd
+	// log receives the output of the daemon; nil discards it.
+	log *os.File
 }
 
 // recordViolation records a violated guarantee.
@@ -58,74 +66,119 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
+// soakOptions are the options of a soak.
+type soakOptions struct {
+	// ip is the address of all processes. Soaks that run at the same time need different
+	// ones.
+	ip string
+	// eras makes the store announce its eras, and tells the daemons that the system starts
+	// for the first time.
+	eras bool
+	// logs is the folder of the daemons' logs; empty for none.
+	logs string
+}
+
 // newSoak starts the stand-ins and six daemons in three zones.
-func newSoak(t *testing.T) *soak {
+func newSoak(t *testing.T, o soakOptions) *soak {
 	t.Helper()
-	s := &soak{t: t}
+	s := &soak{t: t, soakOptions: o}
 	var err error
 	check := func() {
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	s.store, err = site.NewStore("127.0.0.1")
+	s.store, err = site.NewStore(s.ip)
 	check()
 	t.Cleanup(s.store.Close)
-	s.store.Put("config", "main", map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
-		"routes": []any{
-			map[string]any{"host": "current", "route_type": "primary", "timeout_ms": 2000, "target_latency_ms": 2000, "service": "grp"},
-			map[string]any{"host": "session", "route_type": "read_your_writes", "timeout_ms": 2000, "target_latency_ms": 2000, "service": "grp", "max_staleness_ms": 1000},
-		},
-		"limits": map[string]any{"tx_idle_ms": 3000},
-	})
-	s.group, err = site.NewGroup("grp", "127.0.0.1", []string{"north", "south", "west"}, 21, s.store)
+	s.store.SetEraAnnounced(s.eras)
+	s.configure(1, "current", "session")
+	s.group, err = site.NewGroup("grp", s.ip, []string{"north", "south", "west"}, 21, s.store)
 	check()
 	t.Cleanup(s.group.Close)
-	s.promotions, err = site.NewPromotionServer("127.0.0.1", s.group)
+	s.promotions, err = site.NewPromotionServer(s.ip, s.group)
 	check()
 	t.Cleanup(s.promotions.Close)
 	for i, zone := range []string{"north", "north", "south", "south", "west", "west"} {
-		s.vms = append(s.vms, s.newVM(fmt.Sprint("vm-", i), zone))
+		s.vms = append(s.vms, s.newVM(fmt.Sprint("vm-", i), zone, s.eras))
 	}
 	time.Sleep(4 * time.Second) // until the daemons treat the lists that they read as complete
 	return s
 }
 
-// newVM writes the settings of a daemon with free ports and starts it.
-func (s *soak) newVM(name, zone string) *vm {
-	s.t.Helper()
-	var ports []int
-	for range 3 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			s.t.Fatal(err)
+// configure writes a version of the configuration with the given routes.
+func (s *soak) configure(version int, databases ...string) {
+	types := map[string]string{"session": "read_your_writes"}
+	routes := []any{}
+	for _, d := range databases {
+		kind, ok := types[d]
+		if !ok {
+			kind = "primary"
 		}
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-		defer func() { _ = l.Close() }()
+		routes = append(routes, map[string]any{"host": d, "route_type": kind, "timeout_ms": 2000, "target_latency_ms": 2000, "service": "grp", "max_staleness_ms": 1000})
 	}
+	s.store.Put("config", "main", map[string]any{
+		"version": version, "services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
+		"routes": routes, "limits": map[string]any{"tx_idle_ms": 3000},
+	})
+}
+
+// Ports of the daemons. They are below those that the system assigns to connections: a
+// daemon that found its port taken by a connection of another process ended at its start.
+const (
+	firstSoakPort = 20000
+	portsPerVM    = 10
+)
+
+// newVM writes the settings of a daemon and starts it.
+func (s *soak) newVM(name, zone string, firstStart bool) *vm {
+	s.t.Helper()
+	first := firstSoakPort + portsPerVM*len(s.vms)
+	ports := []int{first, first + 1, first + 2}
 	regions := map[string]string{"north": "home", "south": "home", "west": "away"}
-	v := &vm{settingsPath: filepath.Join(s.t.TempDir(), name+".json"), callerAddress: "127.0.0.1:" + strconv.Itoa(ports[0])}
-	data, err := json.Marshal(map[string]any{
-		"node_name": name, "ip": "127.0.0.1", "zone": zone, "region": regions[zone], "zones": regions,
-		"listen":     map[string]string{"front": v.callerAddress, "ready": "127.0.0.1:" + strconv.Itoa(ports[1])},
+	v := &vm{name: name, settingsPath: filepath.Join(s.t.TempDir(), name+".json"), callerAddress: s.ip + ":" + strconv.Itoa(ports[0])}
+	v.settings = map[string]any{
+		"node_name": name, "ip": s.ip, "zone": zone, "region": regions[zone], "zones": regions,
+		"listen":     map[string]string{"front": v.callerAddress, "ready": s.ip + ":" + strconv.Itoa(ports[1])},
 		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 2},
 		"platform": map[string]any{"addr": s.store.Address, "form": "objects"}, "cloud": map[string]any{"addr": s.promotions.Address},
-	})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	if err := os.WriteFile(v.settingsPath, data, 0o600); err != nil {
-		s.t.Fatal(err)
 	}
+	s.writeSettings(v, firstStart)
+	s.openLog(v)
 	s.start(v)
 	s.t.Cleanup(func() { s.terminate(v, syscall.SIGKILL) })
 	return v
 }
 
+// openLog opens the log of a daemon if logs are kept.
+func (s *soak) openLog(v *vm) {
+	if s.logs == "" {
+		return
+	}
+	path := filepath.Join(s.logs, strings.ReplaceAll(s.t.Name(), "/", "-")+"-"+v.name+".log")
+	var err error
+	if v.log, err = os.Create(path); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = v.log.Close() })
+}
+
+// writeSettings writes the settings file of a daemon.
+func (s *soak) writeSettings(v *vm, firstStart bool) {
+	v.settings["bootstrap"] = firstStart
+	data, err := json.Marshal(v.settings)
+	if err == nil {
+		err = os.WriteFile(v.settingsPath, data, 0o600)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // start starts the process of a daemon.
 func (s *soak) start(v *vm) {
 	v.process = exec.Command(binary, "node", "--settings-file", v.settingsPath)
+	v.process.Stdout, v.process.Stderr = v.log, v.log
 	if err := v.process.Start(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -190,6 +243,19 @@
 // notExecutedCodes are the error codes that guarantee that the write is not committed.
 var notExecutedCodes = []string{"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGNODE", "TOOMANY"}
 
+// primaryLimit is the time within which a group has a primary again.
+const primaryLimit = 10 * time.Second
+
+// awaitPrimary waits until the group has a primary, whose log shows what is committed.
+func (s *soak) awaitPrimary() {
+	for end := time.Now().Add(primaryLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if i, _ := s.group.Primary(); i >= 0 {
+			return
+		}
+	}
+	s.recordViolation("the group has no primary for %s", primaryLimit)
+}
+
 // writeOwnItem writes increasing numbers to an item with no other writer and reads each
 // back in the same session. At the end it checks that acknowledged writes are committed
 // and refused ones are not.
@@ -199,6 +265,7 @@
 	for n := 1; ; n++ {
 		select {
 		case <-stop:
+			s.awaitPrimary()
 			committed := s.group.Committed(item)
 			for _, data := range acknowledged {
 				if !slices.Contains(committed, data) {
@@ -214,7 +281,9 @@
 		default:
 		}
 		data := fmt.Sprint(n)
+		s.writing.RLock()
 		w := c.Query("WRITE " + item + " " + data)
+		s.writing.RUnlock()
 		if runs := s.group.RunCount(w.ID); runs > 1 {
 			s.recordViolation("%s: write %s ran %d times", item, data, runs)
 		}
@@ -244,10 +313,7 @@
 			return
 		default:
 		}
-		c.Query("BEGIN")
-		w := c.Query(fmt.Sprintf("WRITE shared %d", n))
-		if w.OK() && c.Query("COMMIT").OK() {
-			s.acknowledged.Store(n)
+		if s.writeInTransaction(c, n) {
 			s.served.Add(1)
 			continue
 		}
@@ -256,6 +322,18 @@
 	}
 }
 
+// writeInTransaction writes n to the shared item, and reports whether that was acknowledged.
+func (s *soak) writeInTransaction(c *site.Caller, n int64) bool {
+	s.writing.RLock()
+	defer s.writing.RUnlock()
+	c.Query("BEGIN")
+	if !c.Query(fmt.Sprintf("WRITE shared %d", n)).OK() || !c.Query("COMMIT").OK() {
+		return false
+	}
+	s.acknowledged.Store(n)
+	return true
+}
+
 // readSharedItem reads the shared item and checks that no read returns less than the
 // number acknowledged before the read began.
 func (s *soak) readSharedItem(rng *rand.Rand, stop chan struct{}) {
@@ -286,7 +364,16 @@
 // the store, lagging replicas and lost answers.
 func TestPlatformSoak(t *testing.T) {
 	const seed = 1
-	s := newSoak(t)
+	s := newSoak(t, soakOptions{ip: "127.0.99.1"})
+	s.run(seed, soakDuration, func(rng *rand.Rand, stop chan struct{}) { s.injectFaults(rng, stop) })
+	if s.served.Load() < 500 {
+		t.Errorf("%d requests served, want 500 or more", s.served.Load())
+	}
+}
+
+// run runs the callers and the faults for the given time, and then reports the violated
+// guarantees.
+func (s *soak) run(seed uint64, length time.Duration, faults func(*rand.Rand, chan struct{})) {
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	source := func(i uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, i)) }
@@ -296,20 +383,18 @@
 	wg.Go(func() { s.writeSharedItem(source(100), stop) })
 	wg.Go(func() { s.readSharedItem(source(101), stop) })
 	wg.Go(func() { s.readSharedItem(source(102), stop) })
-	wg.Go(func() { s.injectFaults(source(103), stop) })
-	time.Sleep(soakDuration)
+	wg.Go(func() { faults(source(103), stop) })
+	time.Sleep(length)
 	close(stop)
 	wg.Wait()
 	for _, b := range s.violations {
-		t.Error(b)
-	}
-	t.Logf("%d requests served, %d promote calls", s.served.Load(), len(s.promotions.Calls()))
-	if s.served.Load() < 500 {
-		t.Errorf("%d requests served, want 500 or more", s.served.Load())
+		s.t.Error(b)
 	}
-	for i, calls := 1, s.promotions.Calls(); i < len(calls); i++ {
+	calls := s.promotions.Calls()
+	s.t.Logf("%d requests served, %d promote calls", s.served.Load(), len(calls))
+	for i := 1; i < len(calls); i++ {
 		if calls[i].Holder != calls[i-1].Holder && calls[i].At.Sub(calls[i-1].At) < 3*time.Second || calls[i].Token < calls[i-1].Token {
-			t.Errorf("promote calls by different holders within 3 s, or with a decreasing token: %+v, %+v", calls[i-1], calls[i])
+			s.t.Errorf("promote calls by different holders within 3 s, or with a decreasing token: %+v, %+v", calls[i-1], calls[i])
 		}
 	}
 }
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 	"github.com/laburnumrack/laburnumrack/internal/query"
+	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
 // Timing of a promotion.
@@ -47,10 +48,17 @@
 	Client        PromotionClient
 	Log           *eventlog.Log
 
-	// requested maps each group to the highest term requested from the holder.
+	// requested maps each group to the highest promotionDemand made of the holder.
 	requested sync.Map
 }
 
+// promotionDemand is a promotion that was requested from the holder. In a later era of the
+// store the request may be lost.
+type promotionDemand struct {
+	term position.Term
+	era  store.Era
+}
+
 // HoldsLock reports whether this daemon holds the promotion lock, according to the record
 // that was last read or written.
 func (p *Promoter) HoldsLock() bool {
@@ -71,13 +79,16 @@
 	if since < requestAfter[reason] {
 		return nil
 	}
-	if asked, ok := p.requested.Load(g.Name); ok && asked.(position.Term) >= term {
-		return nil
+	demand := promotionDemand{term: term, era: p.PromotionLock.Era()}
+	if known, ok := p.requested.Load(g.Name); ok {
+		if made := known.(promotionDemand); made.era == demand.era && made.term >= term {
+			return nil
+		}
 	}
 	if err := p.PromotionLock.RequestPromotion(ctx, g.Name, term); err != nil {
 		return err
 	}
-	p.requested.Store(g.Name, term)
+	p.requested.Store(g.Name, demand)
 	p.Log.StateChange("promotion_demanded", "group", g.Name, "reason", string(reason), "term", term, "since_ms", since.Milliseconds())
 	return nil
 }
@@ -137,6 +148,9 @@
 	leasesEnd := boottime.Now() + primarylease.TTL + primarylease.Margin
 	ctxtime.Sleep(ctx, leasesEnd-holdLeadTime-boottime.Now())
 	primaryLeads := a.isPrimaryLeading(ctx)
+	if err := a.checkLock(); err != nil {
+		return "", err
+	}
 	switch {
 	case primaryLeads && reason == leadership.PrimaryUnreachable:
 		a.Log.StateChange("promotion_withdrawn", "group", a.group.Name, "term", a.term)
@@ -144,6 +158,9 @@
 	case primaryLeads || reason == leadership.PrimaryLeaving:
 		// Until the leases expire the old primary serves the daemons that hold them.
 		ctxtime.Sleep(ctx, leasesEnd-boottime.Now())
+		if err := a.checkLock(); err != nil {
+			return "", err
+		}
 		if end, demoted := a.demote(ctx); demoted {
 			a.awaitCatchUp(ctx, end)
 		}
@@ -163,6 +180,16 @@
 	return a.promoteBest(ctx, observed)
 }
 
+// checkLock returns ErrOtherHolder if this daemon is known not to hold the promotion lock any
+// more, for example because the store has lost its record. It is checked before the steps
+// that keep the group from serving, which only a promotion ends. It makes no call.
+func (a *attempt) checkLock() error {
+	if !a.PromotionLock.IsHolder() {
+		return fmt.Errorf("%w: lost before the promotion of group %s", ErrOtherHolder, a.group.Name)
+	}
+	return nil
+}
+
 // isPrimaryLeading reports whether the old primary is listed, is not draining, answers
 // and leads the current term.
 func (a *attempt) isPrimaryLeading(ctx context.Context) bool {
@@ -258,8 +285,8 @@
 			excluded[target] = true
 			continue
 		case PromoteAccepted, PromoteOutcomeUnknown:
-			if a.awaitEffect(ctx) {
-				return target, nil
+			if term, ok := a.awaitEffect(ctx); ok {
+				return target, a.PromotionLock.MarkSettled(ctx, a.lock, a.group.Name, term)
 			}
 			// The call may still take effect after a later one. Widening the intent by a
 			// term covers that.
@@ -300,25 +327,26 @@
 	return 0
 }
 
-// awaitEffect waits, up to effectTimeout, until a target leads the new term, and reports
-// whether one does. It then starts resumeReplicas in the background.
-func (a *attempt) awaitEffect(ctx context.Context) bool {
+// awaitEffect waits, up to effectTimeout, until a target leads the new term or a later one,
+// and returns the term that it leads. It then starts resumeReplicas in the background.
+func (a *attempt) awaitEffect(ctx context.Context) (position.Term, bool) {
 	deadline := boottime.Now() + effectTimeout
+	leads := func(o leadership.Observation) bool {
+		return o.Reached && o.Status.Primary && o.Status.Term >= a.term
+	}
 	for boottime.Now() < deadline && ctx.Err() == nil {
-		leads := func(seen []leadership.Observation) bool {
-			return slices.ContainsFunc(seen, func(o leadership.Observation) bool {
-				return o.Reached && o.Status.Primary && o.Status.Term >= a.term
-			})
-		}
-		if leads(a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, leads)) {
+		observed := a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, func(seen []leadership.Observation) bool {
+			return slices.ContainsFunc(seen, leads)
+		})
+		if i := slices.IndexFunc(observed, leads); i >= 0 {
 			a.group.ObserveJoinedTerm(a.term)
 			a.group.TriggerCheck()
 			go a.resumeReplicas()
-			return true
+			return observed[i].Status.Term, true
 		}
 		ctxtime.Sleep(ctx, pollInterval)
 	}
-	return false
+	return 0, false
 }
 
 // resumeAfter is how long a held replica may take to join the new term by itself.
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,19 @@
 	Acts uint64 `json:"acts"`
 	// Intents maps each group to the highest term that it may be promoted to.
 	Intents map[string]position.Term `json:"intents,omitempty"`
+	// Era is the era of the store in which the record was written. In a later era the
+	// record is a copy: nobody holds the lock by it, and promotions that were recorded after
+	// the copy was made are missing from its intents.
+	Era store.Era `json:"era,omitempty"`
+	// Unsettled names the groups of which the holder does not know yet whether they were
+	// promoted in an earlier era.
+	Unsettled []string `json:"unsettled,omitempty"`
+}
+
+// writtenIn returns the era in which the record was written. A daemon that doesn't know of
+// eras writes none.
+func (r lockRecord) writtenIn() store.Era {
+	return max(r.Era, store.UnannouncedEra)
 }
 
 // Timing of the promotion lock.
@@ -102,6 +116,9 @@
 	holderGrace = 900 * time.Millisecond
 	// probeFailureTTL is how long a failed probe of the holder counts.
 	probeFailureTTL = time.Second
+	// tokensPerEra is the number of tokens of one era. The tokens of an era are above all
+	// those of earlier ones, whose last tokens the store may have lost.
+	tokensPerEra = 1 << 20
 	// recheckAfter is the age at which another holder's record is read again: a takeover
 	// requires a read that is younger than lockFresh.
 	recheckAfter = lockFresh
@@ -124,9 +141,16 @@
 	probe func(name string) bool
 
 	revisions revisionHistory
-
-	// isHolder is whether the known record names this process.
-	isHolder atomic.Bool
+	// settle asks for promotions of earlier eras; nil if the targets can't be asked.
+	settle Settler
+
+	// era is the highest store.Era seen, the present one.
+	era atomic.Uint64
+	// erasChanged is set when a second era has been seen.
+	erasChanged atomic.Bool
+	// heldIn is the era in which the known record names this process as holder, and
+	// claimedIn the one in which it names any; zero if it names none.
+	heldIn, claimedIn atomic.Uint64
 	// probing is set while a probe of the holder runs.
 	probing atomic.Bool
 
@@ -150,33 +174,96 @@
 	return &LockManager{objects: objects, name: name, process: process, log: log, now: boottime.Now}
 }
 
-// Claim takes the promotion lock if it has never been held, so that a holder is known
-// before the first promotion is needed. It returns nil if another daemon holds the lock.
-func (m *LockManager) Claim(ctx context.Context) error {
+// Claim takes the promotion lock if nobody has held it in the present era, so that a holder
+// is known before the first promotion is needed, and holders of earlier eras can no longer
+// act. It returns nil if another daemon holds the lock, and ErrOtherHolder if a holder of an
+// earlier era may still act. firstStart tells that the whole system has just been started
+// for the first time, so that there was none.
+func (m *LockManager) Claim(ctx context.Context, firstStart bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	m.object = store.Object{Key: lockKey}
-	err := m.write(ctx, lockRecord{Holder: m.name, Process: m.process, Token: 1})
+	if err := m.refresh(ctx); err != nil {
+		return err
+	}
+	if !m.vacant() {
+		return nil
+	}
+	first := m.neverHeld() || firstStart && m.object.Version == 0
+	if !first && m.mustWaitForHolder(0) {
+		return fmt.Errorf("%w until %s have passed", ErrOtherHolder, takeoverAfter)
+	}
+	next := m.tenure()
+	if !first {
+		m.settleEarlierEras(ctx, &next, nil)
+	}
+	err := m.write(ctx, next)
 	var conflict *store.ConflictError
-	if errors.As(err, &conflict) {
+	if errors.As(err, &conflict) && !m.vacant() {
 		return nil
 	}
+	if err == nil {
+		m.log.StateChange("duty_claimed", "token", m.record.Token, "era", m.record.Era.String(), "intents", m.record.Intents, "unsettled", m.record.Unsettled)
+	}
 	return err
 }
 
+// MarkSettled records that a promotion of the group under lock d led to a leader of the given
+// term, which settles what was not known of its earlier promotions. It does nothing if the
+// group is settled.
+func (m *LockManager) MarkSettled(ctx context.Context, d PromotionLock, group string, term position.Term) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holdsLock() || m.currentLock() != d || !slices.Contains(m.record.Unsettled, group) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next := m.record
+	next.Intents = raiseIntents(next.Intents, map[string]position.Term{group: term})
+	next.Unsettled = slices.DeleteFunc(slices.Clone(next.Unsettled), func(g string) bool { return g == group })
+	return m.write(ctx, next)
+}
+
+// Settle completes the intents of groups of which it was not known, when this daemon took
+// the lock, whether they were promoted in an earlier era. It does nothing if there are none
+// or another daemon holds the lock.
+func (m *LockManager) Settle(ctx context.Context) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holdsLock() || len(m.record.Unsettled) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	next := m.record
+	m.settleEarlierEras(ctx, &next, m.record.Unsettled)
+	if len(next.Unsettled) == len(m.record.Unsettled) {
+		return nil
+	}
+	return m.write(ctx, next)
+}
+
+// HolderKnown reports whether a daemon is known to hold the promotion lock in the present
+// era.
+func (m *LockManager) HolderKnown() bool {
+	claimed := m.claimedIn.Load()
+	return claimed != 0 && claimed == m.era.Load()
+}
+
 // Acquire records the intent to promote the group to term and returns the promotion lock.
 // If another daemon holds the lock, Acquire takes it over once the record has been
 // unchanged for takeoverAfter and the promotion has been needed for holderGrace, which
 // shows that the holder does not act; a holder that doesn't answer a probe gets no such
-// grace. Until then it returns ErrOtherHolder. waited is how long the promotion has been
-// needed.
+// grace, and nor does that of an earlier era. Until then it returns ErrOtherHolder. waited
+// is how long the promotion has been needed.
 func (m *LockManager) Acquire(ctx context.Context, group string, term position.Term, waited time.Duration) (PromotionLock, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
+	next := m.record
 	if !m.holdsLock() {
 		if err := m.refresh(ctx); err != nil {
 			return PromotionLock{}, err
@@ -185,16 +272,13 @@
 			m.probeHolder()
 			return PromotionLock{}, fmt.Errorf("%w: %s", ErrOtherHolder, m.record.Holder)
 		}
+		copied := m.vacant() && !m.neverHeld()
+		next = m.tenure()
+		if copied {
+			m.settleEarlierEras(ctx, &next, nil)
+		}
 	}
-	next := m.record
-	if !m.holdsLock() {
-		next.Holder, next.Process = m.name, m.process
-		next.Token++
-	}
-	next.Intents = map[string]position.Term{group: term}
-	for g, t := range m.record.Intents {
-		next.Intents[g] = max(next.Intents[g], t)
-	}
+	next.Intents = raiseIntents(next.Intents, map[string]position.Term{group: term})
 	if err := m.write(ctx, next); err != nil {
 		return PromotionLock{}, err
 	}
@@ -202,22 +286,66 @@
 	return m.currentLock(), nil
 }
 
-// refresh reads the record unless the last read is younger than recheckAfter. m.mu must
-// be held.
+// tenure returns the known record as that of a new tenure of this process. m.mu must be
+// held.
+func (m *LockManager) tenure() lockRecord {
+	next := m.record
+	next.Holder, next.Process, next.Era = m.name, m.process, m.presentEra()
+	next.Token = max(next.Token+1, uint64(next.Era-store.UnannouncedEra)*tokensPerEra)
+	return next
+}
+
+// raiseIntents returns the higher term of each group.
+func raiseIntents(a, b map[string]position.Term) map[string]position.Term {
+	out := maps.Clone(a)
+	if out == nil {
+		out = map[string]position.Term{}
+	}
+	for group, term := range b {
+		out[group] = max(out[group], term)
+	}
+	return out
+}
+
+// presentEra returns the highest era of the store seen so far.
+func (m *LockManager) presentEra() store.Era {
+	return store.Era(m.era.Load())
+}
+
+// vacant reports whether the known record names no holder of the present era: there is no
+// record, or it was written in an earlier era. m.mu must be held.
+func (m *LockManager) vacant() bool {
+	present := m.presentEra()
+	return m.record.Holder == "" || m.object.Era != present || m.record.writtenIn() != present
+}
+
+// refresh reads the record unless the last read is younger than recheckAfter, or shows that
+// the lock can't be taken yet. m.mu must be held.
 func (m *LockManager) refresh(ctx context.Context) error {
-	if m.readAt != 0 && m.now()-m.readAt < recheckAfter {
+	age := m.now() - m.readAt
+	present := m.object.Era == m.presentEra()
+	if m.readAt != 0 && present && (age < recheckAfter || m.vacant() && m.now()-m.unchangedSince < takeoverAfter) {
 		return nil
 	}
 	return m.read(ctx)
 }
 
-// mustWaitForHolder reports whether another daemon holds the promotion lock and may not
-// be taken over yet. m.mu must be held.
+// neverHeld reports whether nobody has ever held the promotion lock: there is no record, and
+// a store that announces no eras does not lose one. m.mu must be held.
+func (m *LockManager) neverHeld() bool {
+	return m.object.Version == 0 && m.presentEra() == store.UnannouncedEra
+}
+
+// mustWaitForHolder reports whether another daemon holds the promotion lock and may not be
+// taken over yet. The holder of an earlier era is not known, because the store may have lost
+// its record; it acts no later than one of this era that has written nothing since the era
+// was first seen. m.mu must be held.
 func (m *LockManager) mustWaitForHolder(waited time.Duration) bool {
-	if m.record.Holder == "" || m.record.Holder == m.name {
+	vacant := m.vacant()
+	if m.neverHeld() || !vacant && m.record.Holder == m.name {
 		return false
 	}
-	return !m.isHolderUnresponsive() && waited < holderGrace || m.now()-m.unchangedSince < takeoverAfter || m.now()-m.readAt > lockFresh
+	return !vacant && !m.isHolderUnresponsive() && waited < holderGrace || m.now()-m.unchangedSince < takeoverAfter || m.now()-m.readAt > lockFresh
 }
 
 // isHolderUnresponsive reports whether the holder failed a probe within probeFailureTTL.
@@ -277,15 +405,44 @@
 }
 
 // IsHolder reports whether this daemon holds the promotion lock, according to the record
-// that was last read or written.
+// that was last read or written, and no later era of the store has been seen.
 func (m *LockManager) IsHolder() bool {
-	return m.isHolder.Load()
+	held := m.heldIn.Load()
+	return held != 0 && held == m.era.Load()
+}
+
+// ObservePoint records that the store has reached a point of its history. It shows how long
+// the holder has not written the record when a promotion is needed, and a new era.
+func (m *LockManager) ObservePoint(p store.Point) {
+	m.observeEra(p.Era)
+	m.revisions.add(p, m.now())
 }
 
-// ObserveRevision records that the store has reached a revision. It shows how long the
-// holder has not written the record when a promotion is needed.
-func (m *LockManager) ObserveRevision(v store.Revision) {
-	m.revisions.add(v, m.now())
+// observeEra records an era of the store. A later one than before makes the known record
+// void.
+func (m *LockManager) observeEra(era store.Era) {
+	for {
+		known := m.era.Load()
+		if uint64(era) <= known {
+			return
+		}
+		if m.era.CompareAndSwap(known, uint64(era)) {
+			if known != 0 {
+				m.erasChanged.Store(true)
+			}
+			return
+		}
+	}
+}
+
+// SawOneEra reports whether the store has not begun a new era since this process started.
+func (m *LockManager) SawOneEra() bool {
+	return !m.erasChanged.Load()
+}
+
+// Era returns the present era of the store, zero if it is not known yet.
+func (m *LockManager) Era() store.Era {
+	return m.presentEra()
 }
 
 // RequestPromotion asks the holder, through an object of the store, to promote the group
@@ -322,7 +479,7 @@
 	if o.Name == lockKey.Name {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if o.Version > m.object.Version {
+		if o.Era > m.object.Era || o.Era == m.object.Era && o.Version > m.object.Version {
 			if err := m.adopt(o); err != nil {
 				m.log.StateChange("duty_unreadable", "error", err.Error())
 			}
@@ -358,7 +515,12 @@
 	started := m.now()
 	o, err := m.objects.Get(ctx, lockKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return primarylease.Record{ReadStart: started}, nil
+		r := primarylease.Record{ReadStart: started, Read: o.Point()}
+		if o.Era == store.UnannouncedEra {
+			// Such a store loses no record, so there have been no promotions.
+			r.WrittenIn = o.Era
+		}
+		return r, nil
 	}
 	if err != nil {
 		return primarylease.Record{}, fmt.Errorf("read promotion intents: %w", err)
@@ -367,12 +529,13 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return primarylease.Record{}, fmt.Errorf("decode promotion intents: %w", err)
 	}
-	return primarylease.Record{Intents: r.Intents, ReadStart: started, Version: o.Version}, nil
+	return primarylease.Record{Intents: r.Intents, ReadStart: started, Read: o.Point(), WrittenIn: r.writtenIn(), Unsettled: r.Unsettled}, nil
 }
 
-// holdsLock reports whether the known record names this process. m.mu must be held.
+// holdsLock reports whether the known record names this process as holder in the present
+// era. m.mu must be held.
 func (m *LockManager) holdsLock() bool {
-	return m.record.Holder == m.name && m.record.Process == m.process
+	return !m.vacant() && m.record.Holder == m.name && m.record.Process == m.process
 }
 
 // currentLock returns this daemon's lock with the token of the known record. m.mu must be
@@ -386,7 +549,7 @@
 func (m *LockManager) read(ctx context.Context) error {
 	o, err := m.objects.Get(ctx, lockKey)
 	if errors.Is(err, store.ErrNotFound) {
-		o, err = store.Object{Key: lockKey, Value: []byte("{}")}, nil
+		o.Value, err = []byte("{}"), nil
 	}
 	if err != nil {
 		return fmt.Errorf("read the promotion lock: %w", err)
@@ -396,8 +559,10 @@
 }
 
 // write replaces the known object by r. If the outcome of the write is unknown, the
-// object is read back to find out; on a conflict, write adopts the current record. m.mu
-// must be held.
+// object is read back to find out; on a conflict, write adopts the current record. It
+// returns ErrOtherHolder if the store began a new era meanwhile: the write may have replaced
+// another record that has the same version there, and readers take r for a copy. m.mu must
+// be held.
 func (m *LockManager) write(ctx context.Context, r lockRecord) error {
 	r.Acts++
 	value, err := json.Marshal(r)
@@ -405,12 +570,20 @@
 		return fmt.Errorf("encode the promotion lock: %w", err)
 	}
 	started := m.now()
-	o, err := m.objects.Put(ctx, store.Object{Key: lockKey, Version: m.object.Version, Value: value})
+	o, err := m.objects.Put(ctx, store.Object{Key: lockKey, Version: m.object.Version, Era: m.object.Era, Value: value})
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
+		if err := m.adopt(o); err != nil {
+			return err
+		}
+		if !m.holdsLock() {
+			return fmt.Errorf("%w: %w", ErrOtherHolder, store.ErrEraChanged)
+		}
 		m.writtenAt = started
-		return m.adopt(o)
+		return nil
+	case errors.Is(err, store.ErrEraChanged), errors.Is(err, store.ErrNotFound):
+		return errors.Join(fmt.Errorf("write the promotion lock: %w", err), m.read(ctx))
 	case errors.As(err, &conflict) && conflict.Current.Version != 0:
 		m.readAt = m.now()
 		return errors.Join(fmt.Errorf("write the promotion lock: %w", err), m.adopt(conflict.Current))
@@ -433,13 +606,22 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return fmt.Errorf("decode the promotion lock: %w", err)
 	}
-	if o.Version != m.object.Version || m.unchangedSince == 0 {
+	m.observeEra(o.Era)
+	if o.Point() != m.object.Point() || m.unchangedSince == 0 {
 		m.unchangedSince = m.now()
 	}
-	if since, ok := m.revisions.firstSeen(o.Version); ok && o.Version != 0 {
+	if since, ok := m.revisions.firstSeen(o.Point()); ok && o.Version != 0 {
 		m.unchangedSince = min(m.unchangedSince, since)
 	}
 	m.object, m.record = o, r
-	m.isHolder.Store(m.holdsLock())
+	held, claimed := store.Era(0), store.Era(0)
+	if !m.vacant() {
+		claimed = o.Era
+	}
+	if m.holdsLock() {
+		held = o.Era
+	}
+	m.heldIn.Store(uint64(held))
+	m.claimedIn.Store(uint64(claimed))
 	return nil
 }
--- a/internal/failover/promotion_lock_test.go
+++ b/internal/failover/promotion_lock_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,25 @@
 	lostAnswers int
 	down        bool
 	puts        int
+	// era is the present era; beforePut, if set, is called once before the next Put takes
+	// effect.
+	era       store.Era
+	beforePut func()
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[store.Key]store.Object{}, era: store.AnnouncedEra(7)}
+}
+
+// copyOf returns a copy of the store, from which it can be restored.
+func (s *fakeStore) copyOf() fakeStore {
+	return fakeStore{objects: maps.Clone(s.objects), revision: s.revision}
+}
+
+// restore returns the store to an earlier copy, in the next era.
+func (s *fakeStore) restore(c fakeStore) {
+	s.objects, s.revision, s.era = map[store.Key]store.Object{}, c.revision, s.era+1
+	maps.Copy(s.objects, c.objects)
 }
 
 func (s *fakeStore) Get(_ context.Context, k store.Key) (store.Object, error) {
@@ -31,8 +51,9 @@
 		return store.Object{}, store.ErrUnavailable
 	}
 	o, ok := s.objects[k]
+	o.Key, o.Era = k, s.era
 	if !ok {
-		return store.Object{}, store.ErrNotFound
+		return o, store.ErrNotFound
 	}
 	return o, nil
 }
@@ -42,11 +63,17 @@
 	if s.down {
 		return store.Object{}, store.ErrUnavailable
 	}
+	if s.beforePut != nil {
+		before := s.beforePut
+		s.beforePut = nil
+		before()
+	}
 	if current := s.objects[o.Key]; current.Version != o.Version {
+		current.Era = s.era
 		return store.Object{}, &store.ConflictError{Key: o.Key, Current: current}
 	}
 	s.revision++
-	o.Version = s.revision
+	o.Version, o.Era = s.revision, s.era
 	s.objects[o.Key] = o
 	if s.lostAnswers > 0 {
 		s.lostAnswers--
@@ -102,21 +129,24 @@
 	}
 }
 
+// firstToken is the first token of the era in which the tests start.
+const firstToken = uint64(store.UnannouncedEra+7) * tokensPerEra
+
 func TestPromotionLock(t *testing.T) {
 	ctx := context.Background()
 	Convey("Given a store and two daemons, of which a holds the lock", t, func() {
-		s := &fakeStore{objects: map[store.Key]store.Object{}}
+		s := newFakeStore()
 		c := &fakeClock{now: time.Hour}
 		a, b := c.newManager(s, "a"), c.newManager(s, "b")
-		So(a.Claim(ctx), ShouldBeNil)
-		So(b.Claim(ctx), ShouldBeNil)
+		So(a.Claim(ctx, true), ShouldBeNil)
+		So(b.Claim(ctx, true), ShouldBeNil)
 		So(a.IsHolder(), ShouldBeTrue)
 		So(b.IsHolder(), ShouldBeFalse)
 
 		Convey("the holder acquires the lock at once", func() {
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldBeNil)
-			So(d, ShouldResemble, PromotionLock{Holder: "a", Token: 1})
+			So(d, ShouldResemble, PromotionLock{Holder: "a", Token: firstToken})
 			So(a.Verify(ctx, d), ShouldBeNil)
 			r, err := b.ReadIntents(ctx)
 			So(err, ShouldBeNil)
@@ -124,29 +154,29 @@
 		})
 		Convey("another daemon takes over from an inactive holder only after the minimum gap, with a higher token", func() {
 			d, waited := acquireUntilHeld(c, b, "g", 2)
-			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: 2})
+			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: firstToken + 1})
 			So(waited+primarylease.TTL, ShouldBeGreaterThan, minHolderGap+lockFresh)
-			So(errors.Is(a.Verify(ctx, PromotionLock{Holder: "a", Token: 1}), ErrOtherHolder) || !a.IsHolder(), ShouldBeTrue)
+			So(errors.Is(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}), ErrOtherHolder) || !a.IsHolder(), ShouldBeTrue)
 		})
 		Convey("a holder that is known to have been inactive for long is replaced after the grace", func() {
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			c.advance(10 * time.Second)
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			d, waited := acquireUntilHeld(c, b, "g", 2)
-			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: 2})
+			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: firstToken + 1})
 			So(waited, ShouldBeBetweenOrEqual, holderGrace, holderGrace+recheckAfter)
 		})
 		Convey("a holder that does not answer and has long been inactive is replaced without the grace", func() {
 			b.SetProbe(func(string) bool { return false })
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			c.advance(10 * time.Second)
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			_, err := b.Acquire(ctx, "g", 2, 0)
 			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
 			waitForProbe(b)
 			d, err := b.Acquire(ctx, "g", 2, 50*time.Millisecond)
 			So(err, ShouldBeNil)
-			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: 2})
+			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: firstToken + 1})
 		})
 		Convey("a holder that does not answer but has just acted is replaced only after the minimum gap", func() {
 			b.SetProbe(func(string) bool { return false })
@@ -160,25 +190,25 @@
 		})
 		Convey("a holder that answers is not replaced before the grace has passed", func() {
 			b.SetProbe(func(string) bool { return true })
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			c.advance(10 * time.Second)
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			_, waited := acquireUntilHeld(c, b, "g", 2)
 			So(waited, ShouldBeGreaterThanOrEqualTo, holderGrace)
 		})
 		Convey("a record is at least as old as a later revision of the store that was seen before", func() {
 			b.SetProbe(func(string) bool { return false })
-			b.ObserveRevision(s.objects[lockKey].Version + 7)
+			b.ObservePoint(store.Point{Era: s.era, Revision: s.objects[lockKey].Version + 7})
 			c.advance(takeoverAfter)
 			_, err := b.Acquire(ctx, "g", 2, 0)
 			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
 			waitForProbe(b)
 			d, err := b.Acquire(ctx, "g", 2, 50*time.Millisecond)
 			So(err, ShouldBeNil)
-			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: 2})
+			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: firstToken + 1})
 		})
 		Convey("a record that has changed since its revision was seen restarts the wait", func() {
-			b.ObserveRevision(s.objects[lockKey].Version)
+			b.ObservePoint(s.objects[lockKey].Point())
 			c.advance(10 * time.Second)
 			_, err := a.Acquire(ctx, "h", 2, 0)
 			So(err, ShouldBeNil)
@@ -202,7 +232,7 @@
 			_, _ = b.Acquire(ctx, "g", 2, time.Minute)
 			c.advance(10 * time.Second)
 			taken, _ := acquireUntilHeld(c, b, "g", 2)
-			So(taken.Token, ShouldEqual, 2)
+			So(taken.Token, ShouldEqual, firstToken+1)
 			So(a.Verify(ctx, d), ShouldNotBeNil)
 			So(a.IsHolder(), ShouldBeFalse)
 		})
@@ -210,21 +240,21 @@
 			s.lostAnswers = 1
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldBeNil)
-			So(d.Token, ShouldEqual, 1)
+			So(d.Token, ShouldEqual, firstToken)
 		})
 		Convey("a restarted holder acquires the lock at once, with a new token", func() {
 			again := NewLockManager(s, "a", "another-process", eventlog.New())
 			again.now = a.now
 			d, err := again.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldBeNil)
-			So(d, ShouldResemble, PromotionLock{Holder: "a", Token: 2})
+			So(d, ShouldResemble, PromotionLock{Holder: "a", Token: firstToken + 1})
 		})
 		Convey("the lock can be neither acquired nor verified while the store is unavailable", func() {
 			s.down = true
 			_, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldNotBeNil)
 			c.advance(time.Minute)
-			So(a.Verify(ctx, PromotionLock{Holder: "a", Token: 1}), ShouldNotBeNil)
+			So(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}), ShouldNotBeNil)
 		})
 		Convey("only the holder can withdraw an intent", func() {
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
--- /dev/null
+++ b/internal/failover/settlement.go
@@ -0,0 +1,71 @@
+package failover
+
+import (
+	"context"
+	"slices"
+
+	"github.com/laburnumrack/laburnumrack/internal/backend"
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
+	"github.com/laburnumrack/laburnumrack/internal/position"
+	"github.com/laburnumrack/laburnumrack/internal/query"
+)
+
+// Settlement is what the targets tell of promotions whose intents the store may have lost
+// with an earlier era. No holder of an earlier era acts any more when they are asked.
+type Settlement struct {
+	// Terms maps each group of which every target answered to the highest term that one has
+	// joined or is held at.
+	Terms map[string]position.Term
+	// Unsettled names the groups of which a target did not answer: it may have been
+	// promoted.
+	Unsettled []string
+}
+
+// Settler asks the targets of the named groups for promotions of earlier eras, or those of
+// all groups if groups is nil.
+type Settler func(ctx context.Context, groups []string) Settlement
+
+// SetSettler sets the settler. It must be called before any other method. Without one, the
+// targets are not asked.
+func (m *LockManager) SetSettler(s Settler) {
+	m.settle = s
+}
+
+// settleEarlierEras raises the intents of next by what the targets of the named groups tell
+// of earlier eras; nil stands for all groups. m.mu must be held.
+func (m *LockManager) settleEarlierEras(ctx context.Context, next *lockRecord, groups []string) {
+	if m.settle == nil {
+		return
+	}
+	s := m.settle(ctx, groups)
+	next.Intents = raiseIntents(next.Intents, s.Terms)
+	next.Unsettled = s.Unsettled
+}
+
+// SettleGroups asks all targets of the groups for their terms. A group is settled if its
+// list of targets is complete and all of them answered.
+func SettleGroups(ctx context.Context, groups []*backend.Group) Settlement {
+	type result struct {
+		group   string
+		term    position.Term
+		settled bool
+	}
+	results := make(chan result, len(groups))
+	for _, g := range groups {
+		go func() {
+			observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
+			silent := slices.ContainsFunc(observed, func(o leadership.Observation) bool { return !o.Reached })
+			results <- result{group: g.Name, term: leadership.HighestTerm(observed), settled: !silent && g.ListComplete()}
+		}()
+	}
+	s := Settlement{Terms: map[string]position.Term{}}
+	for range groups {
+		if r := <-results; r.settled {
+			s.Terms[r.group] = r.term
+		} else {
+			s.Unsettled = append(s.Unsettled, r.group)
+		}
+	}
+	slices.Sort(s.Unsettled)
+	return s
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,6 +62,15 @@
 	// outdatedUntil maps a relay to the time until which it counts as without a current
 	// copy.
 	outdatedUntil map[string]time.Time // guarded by mu
+	// missingUntil ends the time for which VMs that the store lost are kept; zero if there
+	// are none.
+	missingUntil time.Time // guarded by mu
+	// verifyOwn is set until the first list of a new era has shown whether the store still
+	// has this daemon's registration.
+	verifyOwn bool // guarded by mu
+	// registrationDelay is how long this daemon waits before it registers again, in
+	// nanoseconds.
+	registrationDelay atomic.Int64
 	// removed receives a value when this daemon's registration has been removed.
 	removed chan struct{}
 }
@@ -70,6 +79,8 @@
 type registeredVM struct {
 	vm      store.VM
 	version store.Revision
+	// missing is set if the store has lost the registration with an earlier era.
+	missing bool
 }
 
 // New returns the members as seen by the daemon self, which runs units with local.
@@ -264,6 +275,7 @@
 			return
 		case <-ticker.C:
 			m.mu.Lock()
+			m.dropMissing(time.Now())
 			m.publishView()
 			m.mu.Unlock()
 		}
@@ -275,13 +287,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	_, wasRegistered := m.registered[m.self.Name]
-	clear(m.registered)
+	m.registered = m.keepMissing(time.Now(), objects)
 	for _, o := range objects {
 		m.put(o)
 	}
-	if _, isRegistered := m.registered[m.self.Name]; wasRegistered && !isRegistered {
+	_, isRegistered := m.registered[m.self.Name]
+	if wasRegistered && !isRegistered || m.verifyOwn && m.ownRegistrationLost() {
 		m.signalRemoval(m.self.Name)
 	}
+	m.verifyOwn = false
 	m.updateTracker()
 	m.known.Store(true)
 }
--- a/internal/membership/stale_registrations.go
+++ b/internal/membership/stale_registrations.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/laburnumrack/laburnumrack/internal/ctxtime"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/store"
 )
@@ -91,7 +92,7 @@
 	defer m.mu.Unlock()
 	out := map[string]registeredVM{}
 	for name, r := range m.registered {
-		if name != m.self.Name && r.vm.FailureDomain == m.self.FailureDomain {
+		if name != m.self.Name && !r.missing && r.vm.FailureDomain == m.self.FailureDomain {
 			out[name] = r
 		}
 	}
@@ -113,7 +114,9 @@
 		select {
 		case <-ctx.Done():
 		case <-m.removed:
-			m.log.StateChange("registration_lost")
+			delay := time.Duration(m.registrationDelay.Swap(0))
+			m.log.StateChange("registration_lost", "again_in_ms", delay.Milliseconds())
+			ctxtime.Sleep(ctx, delay)
 		}
 	}
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -18,7 +18,7 @@
 // Objects lists and watches objects of the store.
 type Objects interface {
 	List(ctx context.Context, kind store.Kind) (store.Page, error)
-	Watch(ctx context.Context, kind store.Kind, from store.Revision, wait time.Duration) (store.Page, error)
+	Watch(ctx context.Context, kind store.Kind, from store.Point, wait time.Duration) (store.Page, error)
 }
 
 // Timing of a feed.
@@ -80,40 +80,48 @@
 	// onReplace is called with all objects, onChange with each changed object.
 	onReplace func([]store.Object)
 	onChange  func(store.Object)
-	// onRevision is called with the revision that the store has reached; it may be nil.
-	onRevision func(store.Revision)
+	// onPoint is called with the point of its history that the store has reached; it may be
+	// nil.
+	onPoint func(store.Point)
+	// onEra is called before the first objects of a later era than the last known one are
+	// delivered, with the time since the last answer of the earlier era; it may be nil.
+	onEra func(era store.Era, sinceAnswer time.Duration)
+	// answeredAt is when the last answer came, since boot.
+	answeredAt time.Duration
 }
 
 // run lists the objects and then watches for changes until ctx ends.
 func (f *feed) run(ctx context.Context) {
-	f.runFrom(ctx, 0)
+	f.runFrom(ctx, store.Point{})
 }
 
-// runFrom watches for changes after a revision until ctx ends; from 0 it lists first.
+// runFrom watches for changes after a point until ctx ends; from revision 0 it lists first,
+// and when the store has begun a new era or lost the history since the point it lists again.
 // After an error it retries with a growing pause.
-func (f *feed) runFrom(ctx context.Context, from store.Revision) {
+func (f *feed) runFrom(ctx context.Context, from store.Point) {
 	backoff := firstBackoff
 	lostAt := time.Duration(0)
 	for ctx.Err() == nil {
 		next, err := f.poll(ctx, from)
 		if err == nil {
-			if f.onRevision != nil {
-				f.onRevision(next)
+			f.answeredAt = boottime.Now()
+			if f.onPoint != nil {
+				f.onPoint(next)
 			}
 			if lostAt != 0 {
-				f.log.StateChange("store_regained", "kind", f.kind, "lost_ms", (boottime.Now() - lostAt).Milliseconds(), "revision", next)
+				f.log.StateChange("store_regained", "kind", f.kind, "lost_ms", (boottime.Now() - lostAt).Milliseconds(), "point", next.String())
 			}
 			from, backoff, lostAt = next, firstBackoff, 0
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			f.log.StateChange("watch_compacted", "kind", f.kind, "revision", from)
-			from = 0
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrEraChanged) {
+			f.log.StateChange("watch_restarted", "kind", f.kind, "point", from.String(), "reason", err.Error())
+			from.Revision = 0
 			continue
 		}
 		if lostAt == 0 && ctx.Err() == nil {
 			lostAt = boottime.Now()
-			f.log.StateChange("store_lost", "kind", f.kind, "revision", from, "error", err.Error())
+			f.log.StateChange("store_lost", "kind", f.kind, "point", from.String(), "error", err.Error())
 		}
 		ctxtime.Sleep(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
@@ -121,8 +129,8 @@
 }
 
 // poll makes one call to the relay, or to the store if the relay fails or has no current
-// copy. It returns the revision to continue from.
-func (f *feed) poll(ctx context.Context, from store.Revision) (store.Revision, error) {
+// copy. It returns the point to continue from.
+func (f *feed) poll(ctx context.Context, from store.Point) (store.Point, error) {
 	relay := f.relay()
 	f.logSourceChange(relay)
 	if relay != nil {
@@ -132,7 +140,10 @@
 			// All daemons turn from the founder to the relay at the same time.
 			wait = min(wait, joiningFor)
 		}
-		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from, Wait: wait})
+		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
+		if err == nil && !continues(from, answer) {
+			err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
+		}
 		if err == nil {
 			f.fallbackPause, f.nextFallback = 0, 0
 			// This daemon may become the relay; its copy must be complete then.
@@ -141,13 +152,13 @@
 			} else {
 				f.mirror.change(fromRelay, answer.Page)
 			}
-			f.deliver(ctx, answer.Complete, answer.Page)
-			return max(answer.Page.Revision, from), nil
+			f.deliver(ctx, from.Era, answer.Complete, answer.Page)
+			return answer.Page.Point(), nil
 		}
 		if errors.Is(err, peer.ErrNotCurrent) {
 			f.relays.RelayOutdated(relay.Name())
 		}
-		if joiningFor > 0 || from != 0 && boottime.Now() < f.nextFallback {
+		if joiningFor > 0 || from.Revision != 0 && boottime.Now() < f.nextFallback {
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
@@ -166,20 +177,30 @@
 	return next, err
 }
 
+// continues reports whether the answer of a relay continues the history from a point: it
+// tells what changed in the same era, or all objects of that era or a later one. A relay of
+// an earlier version tells no era.
+func continues(from store.Point, a peer.WatchResponse) bool {
+	if a.Complete {
+		return a.Page.Era != 0 && a.Page.Era >= from.Era
+	}
+	return a.Page.Era == from.Era
+}
+
 // pollStore makes one list call to the store, or one watch call that waits up to wait for a
-// change. It returns the revision to continue from.
-func (f *feed) pollStore(ctx context.Context, from store.Revision, wait time.Duration) (store.Revision, error) {
+// change. It returns the point to continue from.
+func (f *feed) pollStore(ctx context.Context, from store.Point, wait time.Duration) (store.Point, error) {
 	started := boottime.Now()
-	if from == 0 {
+	if from.Revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		page, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
 		if err != nil {
-			return 0, err
+			return from, err
 		}
 		f.mirror.replace(started, page)
-		f.deliver(ctx, true, page)
-		return page.Revision, nil
+		f.deliver(ctx, from.Era, true, page)
+		return page.Point(), nil
 	}
 	watch, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
@@ -188,8 +209,9 @@
 		return from, err
 	}
 	f.mirror.change(boottime.Now(), page)
-	f.deliver(ctx, false, page)
-	return max(page.Revision, from), nil
+	f.deliver(ctx, from.Era, false, page)
+	page.Revision = max(page.Revision, from.Revision)
+	return page.Point(), nil
 }
 
 // logSourceChange logs the source that the feed follows if it has changed.
@@ -212,8 +234,15 @@
 	return f.relays.Relay()
 }
 
-// deliver calls onReplace or onChange with the objects of a page.
-func (f *feed) deliver(ctx context.Context, whole bool, page store.Page) {
+// deliver calls onReplace or onChange with the objects of a page, and onEra before if the
+// page is of a later era than known, the last one.
+func (f *feed) deliver(ctx context.Context, known store.Era, whole bool, page store.Page) {
+	for i := range page.Objects {
+		page.Objects[i].Era = page.Era
+	}
+	if known != 0 && page.Era > known && f.onEra != nil {
+		f.onEra(page.Era, boottime.Now()-f.answeredAt)
+	}
 	if whole {
 		f.onReplace(page.Objects)
 		return
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/membership"
 	"github.com/laburnumrack/laburnumrack/internal/store"
@@ -20,13 +24,14 @@
 		if c == nil {
 			return
 		}
+		n.observeStoredVersion(c.Version)
 		if n.configuration.Apply(c) {
 			n.registry.Declare(c)
 			n.log.StateChange("configuration_applied", "version", c.Version, "revision", o.Version, "routes", len(c.Routes), "groups", len(c.Groups))
 		}
 	}
 	return &feed{
-		kind: platform.KindConfiguration, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindConfiguration], wait: watchWait, log: n.log, onChange: apply, onRevision: n.promotionLock.ObserveRevision,
+		kind: platform.KindConfiguration, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindConfiguration], wait: watchWait, log: n.log, onChange: apply, onPoint: n.promotionLock.ObservePoint,
 		onReplace: func(objects []store.Object) {
 			for _, o := range objects {
 				apply(o)
@@ -35,11 +40,34 @@
 	}
 }
 
+// configurationBehindMetric is 1 while the store holds a lower version of the configuration
+// than the one in force, which it lost with an earlier era, and 0 otherwise.
+const configurationBehindMetric = `laburnumrack_configuration_behind`
+
+// observeStoredVersion logs when the store begins or ceases to hold a lower version of the
+// configuration than the one in force. The one in force stays.
+func (n *Node) observeStoredVersion(stored uint64) {
+	current := n.configuration.Current()
+	behind := current != nil && stored < current.Version
+	if n.configurationBehind.Swap(behind) == behind {
+		return
+	}
+	value := 0.0
+	if behind {
+		value = 1
+		n.log.StateChange("configuration_behind", "stored", stored, "in_force", current.Version)
+	} else {
+		n.log.StateChange("configuration_restored", "stored", stored)
+	}
+	metrics.GetOrCreateGauge(configurationBehindMetric, nil).Set(value)
+}
+
 // vmFeed returns the feed of the registrations of VMs.
 func (n *Node) vmFeed() *feed {
 	return &feed{
 		kind: membership.KindVM, objects: n.store, relays: n.members, mirror: n.mirrors[membership.KindVM], wait: slowWatchWait, log: n.log,
 		onReplace: n.members.Replace, onChange: n.members.Change,
+		onEra: func(era store.Era, _ time.Duration) { n.members.BeginEra(era) },
 	}
 }
 
@@ -53,7 +81,8 @@
 		return t, err == nil
 	}
 	return &feed{
-		kind: platform.KindTargets, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log, onRevision: n.promotionLock.ObserveRevision,
+		kind: platform.KindTargets, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log, onPoint: n.promotionLock.ObservePoint,
+		onEra: n.registry.BeginEra,
 		onReplace: func(objects []store.Object) {
 			var targets []catalog.Target
 			for _, o := range objects {
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -26,12 +26,12 @@
 		<-ctx.Done()
 		return store.Page{}, store.ErrUnavailable
 	}
-	return store.Page{Revision: 7}, nil
+	return store.Page{Era: testEra, Revision: 7}, nil
 }
 
-func (s *silentStore) Watch(ctx context.Context, _ store.Kind, from store.Revision, _ time.Duration) (store.Page, error) {
+func (s *silentStore) Watch(ctx context.Context, _ store.Kind, from store.Point, _ time.Duration) (store.Page, error) {
 	<-ctx.Done()
-	return store.Page{Revision: from}, nil
+	return store.Page{Era: from.Era, Revision: from.Revision}, nil
 }
 
 // Guards against a start that waits for the time-out of its first call: after all VMs
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -43,7 +43,7 @@
 func (r *relayIntentReader) ReadIntents(context.Context) (primarylease.Record, error) {
 	record, err := r.read()
 	if err == nil {
-		r.promotionLock.ObserveRevision(record.Version)
+		r.promotionLock.ObservePoint(record.Read)
 	}
 	return record, err
 }
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -19,6 +19,7 @@
 
 	mu       sync.Mutex
 	objects  map[string]store.Object // guarded by mu; removed ones have Deleted set
+	era      store.Era               // guarded by mu; of revision and of all objects
 	revision store.Revision          // guarded by mu
 	// baseRevision is the revision from which on all removals are known: that of the
 	// first listing, or that at which tombstones were last dropped.
@@ -36,11 +37,20 @@
 // but only an answer of the store shows that it is current.
 const fromRelay time.Duration = 0
 
-// replace applies a listing; known objects that it lacks become tombstones. asOf is the
-// time since boot at which the listing was current, or fromRelay.
+// replace applies a listing; known objects that it lacks become tombstones. A listing of a
+// later era replaces the copy without tombstones: followers of the earlier era get all
+// objects. One of an earlier era is ignored. asOf is the time since boot at which the
+// listing was current, or fromRelay.
 func (m *mirror) replace(asOf time.Duration, page store.Page) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	switch {
+	case page.Era < m.era:
+		return
+	case page.Era > m.era:
+		clear(m.objects)
+		m.era, m.revision, m.baseRevision, m.currentAsOf = page.Era, 0, 0, 0
+	}
 	present := make(map[string]bool, len(page.Objects))
 	for _, o := range page.Objects {
 		present[o.Name] = true
@@ -58,11 +68,15 @@
 	m.advance(asOf, page.Revision)
 }
 
-// change applies the changes of a watch. asOf is the time since boot at which they were
-// current, or fromRelay.
+// change applies the changes of a watch. Changes of another era than the copy's are ignored:
+// a later era begins with a listing. asOf is the time since boot at which they were current,
+// or fromRelay.
 func (m *mirror) change(asOf time.Duration, page store.Page) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if page.Era != m.era {
+		return
+	}
 	for _, o := range page.Objects {
 		if o.Deleted {
 			o.Version = page.Revision
@@ -132,19 +146,19 @@
 // does not know all removals since then. It waits for a change until ctx ends or the copy
 // is no longer current; Current in the response reports whether the copy is current. A
 // copy that is not current at first may become so within takeoverGrace.
-func (m *mirror) watch(ctx context.Context, from store.Revision) peer.WatchResponse {
+func (m *mirror) watch(ctx context.Context, from store.Point) peer.WatchResponse {
 	graceEnd := boottime.Now() + takeoverGrace
 	for {
 		m.mu.Lock()
 		remaining := m.currentFor()
-		current := remaining > 0
+		current := remaining > 0 && from.Era <= m.era
 		if !current {
 			remaining = graceEnd - boottime.Now()
 		} else {
 			graceEnd = 0
 		}
 		changed := m.changed
-		if remaining <= 0 || current && from < m.revision || ctx.Err() != nil {
+		if remaining <= 0 || current && m.isPast(from) || ctx.Err() != nil {
 			r := m.changesSince(from)
 			r.Current = current
 			m.mu.Unlock()
@@ -161,12 +175,21 @@
 	}
 }
 
+// isPast reports whether the copy has changes that a follower at from lacks. Any copy of a
+// later era has. m.mu must be held.
+func (m *mirror) isPast(from store.Point) bool {
+	return from.Era != m.era || from.Revision < m.revision
+}
+
 // changesSince returns the objects that changed after from, or all objects. m.mu must be
 // held.
-func (m *mirror) changesSince(from store.Revision) peer.WatchResponse {
-	r := peer.WatchResponse{Complete: from < m.baseRevision, Page: store.Page{Revision: max(m.revision, from)}}
+func (m *mirror) changesSince(from store.Point) peer.WatchResponse {
+	r := peer.WatchResponse{Complete: from.Era != m.era || from.Revision < m.baseRevision, Page: store.Page{Era: m.era, Revision: m.revision}}
+	if !r.Complete {
+		r.Page.Revision = max(m.revision, from.Revision)
+	}
 	for _, o := range m.objects {
-		if (r.Complete && !o.Deleted) || (!r.Complete && o.Version > from) {
+		if (r.Complete && !o.Deleted) || (!r.Complete && o.Version > from.Revision) {
 			r.Page.Objects = append(r.Page.Objects, o)
 		}
 	}
@@ -182,5 +205,5 @@
 	if !ok {
 		return peer.WatchResponse{}
 	}
-	return kindMirror.watch(ctx, r.From)
+	return kindMirror.watch(ctx, r.Point())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,16 +85,19 @@
 	store         *platform.Store
 	log           *eventlog.Log
 
-	ctx             context.Context
-	cancel          context.CancelFunc
-	loops           sync.WaitGroup
-	callerListener  net.Listener
-	probeServer     *http.Server
-	probeListener   net.Listener
-	peerListener    net.Listener
-	targetsListed   atomic.Bool
-	leaving         atomic.Bool
-	metricsListener net.Listener
+	ctx            context.Context
+	cancel         context.CancelFunc
+	loops          sync.WaitGroup
+	callerListener net.Listener
+	probeServer    *http.Server
+	probeListener  net.Listener
+	peerListener   net.Listener
+	targetsListed  atomic.Bool
+	// configurationBehind is whether the store holds a lower version of the configuration
+	// than the one in force.
+	configurationBehind atomic.Bool
+	leaving             atomic.Bool
+	metricsListener     net.Listener
 }
 
 // New returns a node with the given options, not yet started. It returns an error if the
@@ -112,7 +115,7 @@
 	default:
 		return nil, fmt.Errorf("log: %.40q is neither %s nor %s", o.Log, LogAll, LogNone)
 	}
-	n := &Node{options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress)}
+	n := &Node{options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.promotionLock = failover.NewLockManager(n.store, settings.Name, uuid.NewString(), n.log)
 	promoter := &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
@@ -130,6 +133,7 @@
 	n.members = membership.New(self, settings.Regions, local, n.log)
 	n.local = local
 	n.promotionLock.SetProbe(n.members.Answers)
+	n.promotionLock.SetSettler(n.settleGroups)
 	relayReader.relays, peers.members = n.members, n.members
 	n.mirrors = mirrors{
 		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -280,7 +280,10 @@
 }
 
 func (r fakeRelay) RecentRecord() (primarylease.Record, bool) {
-	return primarylease.Record{Intents: map[string]position.Term{"g": 3}, ReadStart: r.readStart}, true
+	return primarylease.Record{
+		Intents: map[string]position.Term{"g": 3}, ReadStart: r.readStart,
+		Read: store.Point{Era: 4, Revision: 11}, WrittenIn: 3, Unsettled: []string{"h"},
+	}, true
 }
 
 // fakePositions has samples of groups.
@@ -308,6 +311,9 @@
 		// The record must never count as younger than the relay's read of the store.
 		So(r.ReadStart, ShouldBeLessThanOrEqualTo, source.readStart)
 		So(r.ReadStart, ShouldBeGreaterThan, source.readStart-time.Second)
+		So(r.Read, ShouldResemble, store.Point{Era: 4, Revision: 11})
+		So(r.WrittenIn, ShouldEqual, store.Era(3))
+		So(r.Unsettled, ShouldResemble, []string{"h"})
 	})
 	Convey("A home answers requests for the position of a primary", t, func() {
 		source := fakePositions{"g": {At: boottime.Now() - 300*time.Millisecond, Position: position.Position{Term: 2, Index: 9}}}
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -12,12 +12,21 @@
 	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
-// WatchRequest asks for the objects of a kind that changed after revision From, or for all
-// objects if From is zero. The relay waits up to Wait for the first change.
+// WatchRequest asks for the objects of a kind that changed after revision From of an era, or
+// for all objects if From is zero or the relay's copy is of a later era. The relay waits up
+// to Wait for the first change.
 type WatchRequest struct {
 	Kind store.Kind     `cbor:"1,keyasint"`
 	From store.Revision `cbor:"2,keyasint,omitempty"`
 	Wait time.Duration  `cbor:"3,keyasint,omitempty"`
+	// Era is the highest era that the sender knows of. A relay whose copy is of an earlier
+	// one has no current copy.
+	Era store.Era `cbor:"4,keyasint,omitempty"`
+}
+
+// Point returns the point in the store's history after which changes are asked for.
+func (r WatchRequest) Point() store.Point {
+	return store.Point{Era: r.Era, Revision: r.From}
 }
 
 // WatchResponse is a relay's answer to a WatchRequest.
@@ -75,8 +84,13 @@
 	Age time.Duration `cbor:"2,keyasint"`
 	// Current is true if the relay has read the store.
 	Current bool `cbor:"3,keyasint,omitempty"`
-	// Version is the revision of the object that the relay read.
+	// Version is the revision of the object that the relay read, in Era.
 	Version store.Revision `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the read, and WrittenIn that in which the object was written.
+	Era       store.Era `cbor:"5,keyasint,omitempty"`
+	WrittenIn store.Era `cbor:"6,keyasint,omitempty"`
+	// Unsettled names the groups whose promotions in earlier eras are not known.
+	Unsettled []string `cbor:"7,keyasint,omitempty"`
 }
 
 // IntentSource returns the intents of promotions, and false if they are unknown.
@@ -88,7 +102,10 @@
 	var answer IntentsResponse
 	if c.server.Intents != nil && !c.server.leaving.Load() {
 		if r, ok := c.server.Intents.RecentRecord(); ok {
-			answer = IntentsResponse{Intents: r.Intents, Age: boottime.Now() - r.ReadStart, Current: true, Version: r.Version}
+			answer = IntentsResponse{
+				Intents: r.Intents, Age: boottime.Now() - r.ReadStart, Current: true,
+				Version: r.Read.Revision, Era: r.Read.Era, WrittenIn: r.WrittenIn, Unsettled: r.Unsettled,
+			}
 		}
 	}
 	// The client learns of a failed write from the end of the connection.
@@ -108,10 +125,14 @@
 	if err != nil {
 		return primarylease.Record{}, fmt.Errorf("get intents from peer %s: %w", c.name, err)
 	}
-	if answer.Intents == nil || !answer.Intents.Current {
+	if answer.Intents == nil || !answer.Intents.Current || answer.Intents.Era == 0 {
 		return primarylease.Record{}, fmt.Errorf("get intents from peer %s: %w", c.name, ErrNotCurrent)
 	}
-	return primarylease.Record{Intents: answer.Intents.Intents, ReadStart: start - answer.Intents.Age, Version: answer.Intents.Version}, nil
+	i := answer.Intents
+	return primarylease.Record{
+		Intents: i.Intents, ReadStart: start - i.Age, Read: store.Point{Era: i.Era, Revision: i.Version},
+		WrittenIn: i.WrittenIn, Unsettled: i.Unsettled,
+	}, nil
 }
 
 // IsReachable reports whether the peer responds, even if it has no current copy.
--- a/internal/primarylease/primarylease.go
+++ b/internal/primarylease/primarylease.go
@@ -5,10 +5,17 @@
 // platform only after TTL has passed since the store acknowledged the write. A read of
 // the store that started at b and shows no intent above T therefore proves that only
 // the primary of T leads before b + TTL.
+//
+// That holds within one era of the store. A store that returns from an older copy may have
+// lost the intent of a promotion that is under way or done. A record proves something only
+// if it was written in the era in which it is read: the daemon that wrote it waited until no
+// promotion of an earlier era could act any more, and then asked all targets for the
+// terms that those led to.
 package primarylease
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,8 +53,13 @@
 	Intents map[string]position.Term
 	// ReadStart is the time since boot at which the read started.
 	ReadStart time.Duration
-	// Version is the revision of the object that was read.
-	Version store.Revision
+	// Read is the revision of the object that was read, in the era of the read.
+	Read store.Point
+	// WrittenIn is the era in which the object was written; zero if there is no object.
+	WrittenIn store.Era
+	// Unsettled names the groups that may have been promoted in an earlier era to a term
+	// that is not in Intents.
+	Unsettled []string
 }
 
 // Verdict is the result of checking an answer against a record.
@@ -61,6 +73,8 @@
 	Denied
 	// Expired means that there is no record or that it is older than TTL.
 	Expired
+	// Unproven means that the record may lack a promotion of an earlier era.
+	Unproven
 )
 
 // Evaluate returns the verdict on an answer that the primary of the given term gave
@@ -69,6 +83,8 @@
 	switch {
 	case r == nil || at >= r.ReadStart+TTL:
 		return Expired
+	case r.WrittenIn != r.Read.Era || slices.Contains(r.Unsettled, group):
+		return Unproven
 	case r.Intents[group] > term:
 		return Denied
 	default:
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -60,6 +60,9 @@
 	fault          Fault                    // guarded by mu
 	callCounts     map[string]int           // guarded by mu; key is method and kind, such as "GET servers"
 	delays         map[string]time.Duration // guarded by mu; of the answers to calls, by kind
+	era            uint64                   // guarded by mu; announced in every answer
+	announcesEra   bool                     // guarded by mu
+	copies         []storeCopy              // guarded by mu; by time
 	server         *http.Server
 }
 
@@ -69,7 +72,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}), callCounts: map[string]int{}, delays: map[string]time.Duration{}}
+	s := &Store{
+		Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}),
+		callCounts: map[string]int{}, delays: map[string]time.Duration{}, era: 1,
+	}
+	s.keepCopy()
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -152,8 +159,10 @@
 	return o
 }
 
-// notifyWatchers wakes all pending watches. The caller holds mu.
+// notifyWatchers wakes all pending watches, after a change of the objects or of the fault.
+// The caller holds mu.
 func (s *Store) notifyWatchers() {
+	s.keepCopy()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -172,6 +181,7 @@
 	time.Sleep(delay)
 	switch fault {
 	case Unavailable:
+		s.announceEra(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Unresponsive:
@@ -182,6 +192,7 @@
 	if s.losesAnswers() {
 		panic(http.ErrAbortHandler)
 	}
+	s.announceEra(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(answer)
@@ -300,10 +311,11 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, revision, discarded, changed := s.events(kind, from), s.revision, from < s.oldestRevision, s.changed
+		events, revision, changed := s.events(kind, from), s.revision, s.changed
+		gone := from < s.oldestRevision || from > s.revision
 		s.mu.Unlock()
-		if discarded {
-			return http.StatusGone, map[string]string{"error": "history before the requested revision was discarded"}
+		if gone {
+			return http.StatusGone, map[string]string{"error": "the history after the requested revision is not there"}
 		}
 		answer := map[string]any{"events": events, "as_of": revision}
 		if len(events) > 0 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,6 +56,15 @@
 	Value []byte `json:"value,omitempty"`
 	// Deleted marks the event of a deletion.
 	Deleted bool `json:"deleted,omitempty"`
+	// Era is the era of the answer that brought the object, or zero if the client does not
+	// tell eras apart. An object that is part of a page has the era of the page.
+	Era Era `json:"-"`
+}
+
+// Point returns the point in the store's history at which this version was written. It is
+// comparable with points of Era only.
+func (o Object) Point() Point {
+	return Point{Era: o.Era, Revision: o.Version}
 }
 
 // Page is the result of List or Watch: the objects as of Revision, or the events up to
@@ -63,6 +72,13 @@
 type Page struct {
 	Revision Revision `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// Era is the era of Revision, or zero if the client does not tell eras apart.
+	Era Era `json:"era,omitempty"`
+}
+
+// Point returns the point in the store's history as of which p is complete.
+func (p Page) Point() Point {
+	return Point{Era: p.Era, Revision: p.Revision}
 }
 
 // VMState is the state of a VM as the platform reports it.
@@ -93,6 +109,9 @@
 	ErrOutcomeUnknown = errors.New("store answer lost")
 	// ErrCompacted reports that a watch starts before the oldest retained event.
 	ErrCompacted = errors.New("watch revision is too old")
+	// ErrEraChanged reports that a call refers to a revision of an earlier era than the
+	// store is in, or that the store changed its era during the call.
+	ErrEraChanged = errors.New("the store has begun a new era")
 	// ErrTooLarge reports that a value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("object value too large")
 )
