--- a/cmd/labbench/main.go
+++ b/cmd/labbench/main.go
@@ -111,6 +111,7 @@
 	Cost     *costCommand     `arg:"subcommand:cost" help:"compare the proxy with a plain relay and a direct connection"`
 	Control  *controlCommand  `arg:"subcommand:control" help:"start fleets of daemons and measure what their control traffic costs"`
 	Usage    *usageCommand    `arg:"subcommand:usage" help:"measure the resource usage of the daemons"`
+	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print when, where and why requests were not served, from the logs of daemons"`
 	InTime   *intimeCommand   `arg:"subcommand:intime" help:"simulate queue policies and compare them with a clairvoyant bound"`
 }
 
@@ -139,6 +140,8 @@
 		err = args.Control.run(ctx)
 	case args.Usage != nil:
 		err = args.Usage.run(ctx)
+	case args.Losses != nil:
+		err = args.Losses.run()
 	case args.InTime != nil:
 		err = args.InTime.run()
 	default:
