--- a/cmd/labbench/main.go
+++ b/cmd/labbench/main.go
@@ -92,6 +92,12 @@
 	Slots    int    `arg:"--slots" default:"3" placeholder:"N" help:"number of slots of the simulated target"`
 	Requests int    `arg:"--requests" default:"1000" placeholder:"N" help:"number of requests per load"`
 	Seed     uint64 `arg:"--seed" default:"1" placeholder:"N" help:"seed of the arrivals"`
+	// Outage selects the report of an outage in place of the comparison of policies.
+	Outage time.Duration `arg:"--outage" help:"print what can be served in time of each window with an outage of this length instead"`
+	From   time.Duration `arg:"--from" default:"2s" help:"start of the outage"`
+	Return time.Duration `arg:"--return" default:"400ms" help:"time after the outage within which the callers are back"`
+	Load   float64       `arg:"--load" default:"0.6" placeholder:"SHARE" help:"load with an outage, as a share of the slots"`
+	Window time.Duration `arg:"--window" default:"2s" help:"length of a window"`
 }
 
 type usageCommand struct {
@@ -327,6 +333,10 @@
 }
 
 func (c *intimeCommand) run() error {
+	if c.Outage > 0 {
+		o := intime.Outage{From: c.From, Length: c.Outage, Return: c.Return}
+		return intime.WriteOutageReport(os.Stdout, intime.Hakata(), c.Slots, c.Requests, c.Load, o, c.Window, c.Seed)
+	}
 	mixes := []struct {
 		name string
 		mix  []intime.Class
--- a/internal/experiment/intime/bound.go
+++ b/internal/experiment/intime/bound.go
@@ -16,6 +16,16 @@
 // weight. The feasible amounts of work then form a polymatroid, so that the greedy choice
 // by weight per unit of work is optimal.
 func Bound(jobs []Job, slots int) float64 {
+	total := 0.0
+	for i, served := range servedShares(jobs, slots) {
+		total += float64(jobs[i].Weight) * served
+	}
+	return total
+}
+
+// servedShares returns, for each job, the share of its work that the scheduler of Bound
+// serves. Jobs whose deadline is not after their arrival are not served.
+func servedShares(jobs []Job, slots int) []float64 {
 	order := make([]int, len(jobs))
 	for i := range order {
 		order[i] = i
@@ -29,15 +39,18 @@
 		return jobs[byArrival[a]].Arrival < jobs[byArrival[b]].Arrival
 	})
 	amounts := make([]float64, len(jobs))
-	total := 0.0
+	shares := make([]float64, len(jobs))
 	for _, i := range order {
+		if jobs[i].Timeout <= 0 {
+			continue
+		}
 		amounts[i] = float64(jobs[i].ServiceTime)
 		if !feasible(jobs, byArrival, amounts, slots) {
 			amounts[i] = largestFeasible(jobs, byArrival, amounts, slots, i)
 		}
-		total += float64(jobs[i].Weight) * amounts[i] / float64(jobs[i].ServiceTime)
+		shares[i] = amounts[i] / float64(jobs[i].ServiceTime)
 	}
-	return total
+	return shares
 }
 
 // density returns the weight of a job per unit of work.
--- a/internal/experiment/intime/intime_test.go
+++ b/internal/experiment/intime/intime_test.go
@@ -79,3 +79,38 @@
 	}
 	t.Log(out.String())
 }
+
+func TestOutage(t *testing.T) {
+	Convey("What was asked for in an outage arrives after it, with the deadline of before", t, func() {
+		o := Outage{From: time.Second, Length: time.Second, Return: 100 * time.Millisecond}
+		jobs := []Job{{Arrival: 500 * time.Millisecond, Timeout: time.Second}, {Arrival: 1500 * time.Millisecond, Timeout: time.Second}, {Arrival: 2 * time.Second, Timeout: time.Second}}
+		arrived := o.Apply(jobs, 1)
+		So(arrived[0], ShouldResemble, jobs[0])
+		So(arrived[1].Arrival, ShouldBeBetweenOrEqual, 2*time.Second, 2100*time.Millisecond)
+		So(arrived[1].Deadline(), ShouldEqual, jobs[1].Deadline())
+		So(arrived[2], ShouldResemble, jobs[2])
+	})
+	Convey("The bound of a window counts what was asked for in it", t, func() {
+		job := Job{Weight: 2, ServiceTime: 100 * time.Millisecond, Timeout: 300 * time.Millisecond}
+		var jobs []Job
+		for i := range 40 {
+			job.Arrival = time.Duration(i) * 100 * time.Millisecond
+			jobs = append(jobs, job)
+		}
+		o := Outage{From: time.Second, Length: time.Second}
+		bounds := OutageBounds(jobs, o.Apply(jobs, 1), 1, time.Second)
+		So(bounds, ShouldHaveLength, 4)
+		So(bounds[0].Bound, ShouldAlmostEqual, bounds[0].Weight, 0.01)
+		// Of the second window, only what was asked for in its last 0.2 s can be served in
+		// time. It delays all that follows by as much, within the deadlines.
+		So(bounds[1].Bound, ShouldAlmostEqual, 0.2*bounds[1].Weight, 0.01)
+		So(bounds[2].Bound, ShouldAlmostEqual, bounds[2].Weight, 0.01)
+		So(bounds[3].Bound, ShouldAlmostEqual, bounds[3].Weight, 0.01)
+	})
+	Convey("A report has a row a window", t, func() {
+		var out strings.Builder
+		o := Outage{From: 500 * time.Millisecond, Length: 500 * time.Millisecond, Return: 100 * time.Millisecond}
+		So(WriteOutageReport(&out, Hakata(), 18, 300, 0.6, o, 500*time.Millisecond, 1), ShouldBeNil)
+		So(strings.Count(out.String(), "\n"), ShouldBeGreaterThan, 3)
+	})
+}
--- a/internal/experiment/intime/load.go
+++ b/internal/experiment/intime/load.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// Hakata returns the mix of certificate postings, fineness reports and reconciliations. The
+// service times include the further statements of those that are transactions.
+func Hakata() []Class {
+	return []Class{
+		{Name: "certificate", Share: 0.15, Weight: 2, Timeout: 800 * time.Millisecond, ServiceTime: 10 * time.Millisecond},
+		{Name: "report", Share: 0.15, Weight: 1, Timeout: 1200 * time.Millisecond, ServiceTime: 33 * time.Millisecond},
+		{Name: "reconciliation", Share: 0.7, Weight: 2, Timeout: 1500 * time.Millisecond, ServiceTime: 23 * time.Millisecond},
+	}
+}
+
 // Job is one request of a simulated load.
 type Job struct {
 	Class  int
