Don't ask for a second promotion right after a planned one, and find the primary anew

Cause, from the log: homes counted the time without a leader from the start of the drain. The leases and the promotion take 1.8 s together, so a home that had seen the new term and not found its primary yet took the promotion for stalled (1.5 s) and requested the next term. The holder acted at once, on the primary that it had known before: it demoted the target that drained, could not hold the real primary as a replica, left the other replica held, which makes every home refuse the primary's answers, and tried the same again for ever, because its monitor does not look for the leader while requests are open.

Change: the time without a leader is counted for itself (groupHealth), and a promotion that was requested, or whose known leader is of an older term, asks the targets who leads. A request that has been met is dropped.

--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -33,9 +33,7 @@
 	group *Group
 	// lastFound is the leader that was found last.
 	lastFound leadership.Leader
-	// unhealthySince is the time since boot at which the need for a promotion or the loss
-	// of the leader was first seen; 0 if there is neither.
-	unhealthySince time.Duration
+	health    groupHealth
 	// observations is the result of the last round of status queries.
 	observations []leadership.Observation
 }
@@ -108,9 +106,7 @@
 	g := m.group
 	now := boottime.Now()
 	if g.RequestedTerm() > g.JoinedTerm() {
-		if m.unhealthySince == 0 {
-			m.unhealthySince = now
-		}
+		m.health.observeRequest(now)
 		m.promote(ctx, leadership.Requested)
 		return
 	}
@@ -131,14 +127,11 @@
 	case g.Leader() != nil && !m.leaderUsable():
 		g.setLeader(nil)
 	}
-	if found && !m.leaderDraining(leader) {
-		m.unhealthySince = 0
+	m.health.observe(now, found, found && m.leaderDraining(leader))
+	if m.health.healthy() {
 		return
 	}
-	if m.unhealthySince == 0 {
-		m.unhealthySince = now
-	}
-	reason := leadership.PromotionDue(m.observations, m.lastLeader(), g.KnownTerm(), now-m.unhealthySince, leadership.DefaultPolicy)
+	reason := leadership.PromotionDue(m.observations, m.lastLeader(), g.KnownTerm(), m.health.leaderlessFor(now), leadership.DefaultPolicy)
 	if reason != leadership.NotNeeded {
 		m.promote(ctx, reason)
 	}
@@ -163,7 +156,7 @@
 	if !g.listComplete() {
 		return
 	}
-	since := boottime.Now() - m.unhealthySince
+	since := m.health.unhealthyFor(boottime.Now())
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	if err := g.Promoter.Promote(ctx, g, reason, since); err != nil {
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -108,8 +108,13 @@
 // over if the holder does not act, and otherwise requests the promotion from the holder.
 func (p *Promoter) Promote(ctx context.Context, g *backend.Group, reason leadership.Reason, since time.Duration) error {
 	started := boottime.Now()
+	old := findPrimary(ctx, g, reason)
+	if reason == leadership.Requested && g.RequestedTerm() <= g.JoinedTerm() {
+		// The request was met before this daemon knew of it.
+		return nil
+	}
 	term := max(g.JoinedTerm()+1, g.RequestedTerm())
-	a := attempt{Promoter: p, group: g, old: oldPrimary(g), term: term}
+	a := attempt{Promoter: p, group: g, old: old, term: term}
 	lock, err := p.PromotionLock.Acquire(ctx, g.Name, term, since)
 	if err != nil {
 		if errors.Is(err, ErrOtherHolder) {
@@ -128,14 +133,35 @@
 	return nil
 }
 
-// oldPrimary returns the known leader or the target that is listed as primary, nil if
-// there is neither.
-func oldPrimary(g *backend.Group) *backend.Target {
-	if l := g.Leader(); l != nil {
+// findPrimary returns the primary to replace, nil if it is unknown. It asks the targets if
+// the known leader may be out of date: while promotions follow each other, as a request of
+// another daemon makes them do, the monitor of this daemon does not look for the leader.
+func findPrimary(ctx context.Context, g *backend.Group, reason leadership.Reason) *backend.Target {
+	if l := g.Leader(); l != nil && reason != leadership.Requested && l.Term >= g.JoinedTerm() {
+		return l.Target
+	}
+	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
+	joined := leadership.JoinedTerm(observed)
+	g.ObserveJoinedTerm(joined)
+	for _, o := range observed {
+		if o.Reached && o.Status.Primary && o.Status.Term == max(joined, g.JoinedTerm()) {
+			return g.FindTarget(o.ID)
+		}
+	}
+	return unreachedPrimary(g, observed)
+}
+
+// unreachedPrimary returns the known leader or else the target that is listed as primary,
+// provided that it was not reached: one that was reached does not lead.
+func unreachedPrimary(g *backend.Group, observed []leadership.Observation) *backend.Target {
+	reached := func(t *backend.Target) bool {
+		return slices.ContainsFunc(observed, func(o leadership.Observation) bool { return o.Reached && o.ID == t.Info().ID })
+	}
+	if l := g.Leader(); l != nil && !reached(l.Target) {
 		return l.Target
 	}
 	for _, t := range g.Targets() {
-		if t.Info().Primary {
+		if t.Info().Primary && !reached(t) {
 			return t
 		}
 	}
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -294,3 +294,34 @@
 		So(lost, ShouldBeEmpty)
 	})
 }
+
+// Guards against a holder that takes the replaced primary for the present one: it could not
+// hold the real one as a replica, left the other replica held, and the group had no primary
+// until the whole fleet was restarted.
+func TestRequestAfterReplacement(t *testing.T) {
+	Convey("A promotion that is requested right after another one replaces the new primary", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		c := tc.connect(tc.nodes[1], dbCurrent)
+		So(c.Query("WRITE before kept").OK(), ShouldBeTrue)
+		tc.group.Drain(0)
+		time.Sleep(500 * time.Millisecond) // the first promotion waits for the primary leases
+		for _, n := range tc.nodes {
+			if n.promotionLock.IsHolder() {
+				n.registry.Group("grp").RequestPromotion(3)
+			}
+		}
+		writeInNewTerm(tc, c, "after", 2)
+		So(c.Query("READ before").Rows, ShouldResemble, []string{"kept"})
+		checkSingleHolder(tc)
+	})
+	Convey("A request that has been met changes nothing", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		c := tc.connect(tc.nodes[1], dbCurrent)
+		So(c.Query("WRITE before kept").OK(), ShouldBeTrue)
+		for _, n := range tc.nodes {
+			n.registry.Group("grp").RequestPromotion(1)
+		}
+		time.Sleep(2 * time.Second)
+		So(tc.promotionServer.Calls(), ShouldBeEmpty)
+	})
+}
