Count a promotion as stalled from its first sign, and ask for the primary only on request

Silence, primary leases and the promotion take that long in every unplanned failover, more than the 1.5 s after which a promotion counts as stalled.

Change: groupHealth restarts the time without a leader when a higher term is seen, which is the hold of a promotion under way.

--- a/internal/backend/group_health_test.go
+++ b/internal/backend/group_health_test.go
@@ -27,22 +27,36 @@
 	Convey("A planned replacement counts as stalled by the time without a leader, not by that of the drain", t, func() {
 		var h groupHealth
 		const drained, demoted = 10 * time.Second, 11100 * time.Millisecond
-		h.observe(drained, true, true)
+		h.observe(drained, 1, true, true)
 		So(h.healthy(), ShouldBeFalse)
-		h.observe(demoted, false, false)
+		h.observe(demoted, 2, false, false)
 		soon := drained + policy.LeaderlessAfter + 300*time.Millisecond
-		h.observe(soon, false, false)
+		h.observe(soon, 2, false, false)
 		So(h.unhealthyFor(soon), ShouldEqual, soon-drained)
 		So(due(&h, soon), ShouldEqual, leadership.NotNeeded)
 		So(due(&h, demoted+policy.LeaderlessAfter), ShouldEqual, leadership.PromotionStalled)
-		h.observe(soon, true, false)
+		h.observe(soon, 2, true, false)
 		So(h.healthy(), ShouldBeTrue)
 		So(h.unhealthyFor(soon)+h.leaderlessFor(soon), ShouldEqual, 0)
 	})
+	// Guards against a second promotion after an unplanned one: the silence of the primary,
+	// the primary leases and the promotion take 2 s and more together. On a played day the
+	// second one cost another gap of 2 s.
+	Convey("A failover counts as stalled by the time since its first sign, not by that without a leader", t, func() {
+		var h groupHealth
+		const lost, held = 10 * time.Second, 11400 * time.Millisecond
+		h.observe(lost, 1, false, false)
+		h.observe(held, 2, false, false)
+		late := lost + policy.LeaderlessAfter + 500*time.Millisecond
+		h.observe(late, 2, false, false)
+		So(h.unhealthyFor(late), ShouldEqual, late-lost)
+		So(due(&h, late), ShouldEqual, leadership.NotNeeded)
+		So(due(&h, held+policy.LeaderlessAfter), ShouldEqual, leadership.PromotionStalled)
+	})
 	Convey("A lost leader counts from the first look that did not find it", t, func() {
 		var h groupHealth
-		h.observe(time.Second, false, false)
-		h.observe(2*time.Second, false, false)
+		h.observe(time.Second, 1, false, false)
+		h.observe(2*time.Second, 1, false, false)
 		So(h.leaderlessFor(3*time.Second), ShouldEqual, 2*time.Second)
 		So(h.unhealthyFor(3*time.Second), ShouldEqual, 2*time.Second)
 	})
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -133,41 +133,44 @@
 	return nil
 }
 
-// findPrimary returns the primary to replace, nil if it is unknown. It asks the targets if
-// the known leader may be out of date: while promotions follow each other, as a request of
-// another daemon makes them do, the monitor of this daemon does not look for the leader.
+// findPrimary returns the primary to replace, nil if it is unknown. For a request of another
+// daemon it asks the targets: while requests are open, the monitor of this daemon does not
+// look for the leader, and the known one may be of an older term. Otherwise the monitor has
+// just looked, and asking a primary that is silent would only add to the gap.
 func findPrimary(ctx context.Context, g *backend.Group, reason leadership.Reason) *backend.Target {
-	if l := g.Leader(); l != nil && reason != leadership.Requested && l.Term >= g.JoinedTerm() {
-		return l.Target
-	}
-	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
-	joined := leadership.JoinedTerm(observed)
-	g.ObserveJoinedTerm(joined)
-	for _, o := range observed {
-		if o.Reached && o.Status.Primary && o.Status.Term == max(joined, g.JoinedTerm()) {
-			return g.FindTarget(o.ID)
+	if reason == leadership.Requested {
+		if t := askForPrimary(ctx, g); t != nil {
+			return t
 		}
 	}
-	return unreachedPrimary(g, observed)
-}
-
-// unreachedPrimary returns the known leader or else the target that is listed as primary,
-// provided that it was not reached: one that was reached does not lead.
-func unreachedPrimary(g *backend.Group, observed []leadership.Observation) *backend.Target {
-	reached := func(t *backend.Target) bool {
-		return slices.ContainsFunc(observed, func(o leadership.Observation) bool { return o.Reached && o.ID == t.Info().ID })
-	}
-	if l := g.Leader(); l != nil && !reached(l.Target) {
+	if l := g.Leader(); l != nil && l.Term >= g.JoinedTerm() {
 		return l.Target
 	}
 	for _, t := range g.Targets() {
-		if t.Info().Primary && !reached(t) {
+		if t.Info().Primary {
 			return t
 		}
 	}
 	return nil
 }
 
+// askForPrimary asks the targets which of them is primary of the highest term that one has
+// joined, and records that term. A hold at a later term does not count: it may be left from an
+// attempt that failed. It returns nil if none of those that answer is.
+func askForPrimary(ctx context.Context, g *backend.Group) *backend.Target {
+	leads := func(o leadership.Observation) bool {
+		return o.Reached && o.Status.Primary && o.Status.Term >= g.JoinedTerm()
+	}
+	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, func(seen []leadership.Observation) bool {
+		return slices.ContainsFunc(seen, leads)
+	})
+	g.ObserveJoinedTerm(leadership.JoinedTerm(observed))
+	if i := slices.IndexFunc(observed, leads); i >= 0 {
+		return g.FindTarget(observed[i].ID)
+	}
+	return nil
+}
+
 // run promotes a replica once every lease on the old primary has expired. It returns the
 // ID of the promoted target, or "" without an error if the promotion was withdrawn.
 func (a *attempt) run(ctx context.Context, reason leadership.Reason) (string, error) {
