--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,7 +17,7 @@
 	dialTimeout = 1500 * time.Millisecond
 	// surplusIdleTimeout is how long a connection above the base may be idle before it is
 	// closed, so that other daemons can open one.
-	surplusIdleTimeout = 250 * time.Millisecond
+	surplusIdleTimeout = time.Second
 	// fullBackoff is how long no further connection is opened after a target had no room
 	// for one.
 	fullBackoff = 200 * time.Millisecond
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -26,7 +26,7 @@
 
 // trimInterval is the interval at which surplus connections are closed and targets that
 // stay unlisted are dropped.
-const trimInterval = 100 * time.Millisecond
+const trimInterval = 500 * time.Millisecond
 
 // Dependencies holds the services that the groups of a daemon use and the location of the
 // daemon.
