--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,3 +195,30 @@
 		})
 	})
 }
+
+// TestWriteWithoutAnswer shows what a caller that leaves before the answer has to expect: its
+// write may still run, also after a later one of the same caller. No answer promises nothing.
+func TestWriteWithoutAnswer(t *testing.T) {
+	Convey("A write whose caller left while it was queued runs after a later write at another daemon", t, func() {
+		tc := newTestCluster(t, "north", "south")
+		tc.group.StatementTime = 300 * time.Millisecond
+		busy, other := tc.nodes[0], tc.nodes[1]
+		So(tc.connect(busy, dbCurrent).Query("WRITE k 0").OK(), ShouldBeTrue)
+		// As many statements as the home runs on the primary at once.
+		const running = 4
+		var fillers sync.WaitGroup
+		for i := range running {
+			c := tc.connect(busy, dbCurrent)
+			fillers.Go(func() { c.Query(fmt.Sprintf("WRITE filler%d v", i)) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		leaving := tc.connect(busy, dbCurrent)
+		go leaving.Query("WRITE k 1")
+		time.Sleep(50 * time.Millisecond)
+		leaving.Close()
+		So(tc.connect(other, dbCurrent).Query("WRITE k 2").OK(), ShouldBeTrue)
+		fillers.Wait()
+		tc.eventually(3*time.Second, "both writes are committed", func() bool { return len(tc.group.Committed("k")) == 3 })
+		So(tc.group.Committed("k"), ShouldResemble, []string{"0", "2", "1"})
+	})
+}
--- a/internal/standin/target/instance.go
+++ b/internal/standin/target/instance.go
@@ -87,7 +87,7 @@
 	nextPID        atomic.Uint32
 
 	// mu guards the fields below.
-	mu sync.Mutex
+	mu watchedMutex
 	// thawed is signaled when frozen becomes false.
 	thawed *sync.Cond
 	frozen bool
