--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -209,42 +208,6 @@
 	return err
 }
 
-// MarkSettled records that a promotion of the group under lock d led to a leader of the given
-// term, which settles what was not known of its earlier promotions. It does nothing if the
-// group is settled.
-func (m *LockManager) MarkSettled(ctx context.Context, d PromotionLock, group string, term position.Term) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.holdsLock() || m.currentLock() != d || !slices.Contains(m.record.Unsettled, group) {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	next := m.record
-	next.Intents = raiseIntents(next.Intents, map[string]position.Term{group: term})
-	next.Unsettled = slices.DeleteFunc(slices.Clone(next.Unsettled), func(g string) bool { return g == group })
-	return m.write(ctx, next)
-}
-
-// Settle completes the intents of groups of which it was not known, when this daemon took
-// the lock, whether they were promoted in an earlier era. It does nothing if there are none
-// or another daemon holds the lock.
-func (m *LockManager) Settle(ctx context.Context) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.holdsLock() || len(m.record.Unsettled) == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
-	defer cancel()
-	next := m.record
-	m.settleEarlierEras(ctx, &next, m.record.Unsettled)
-	if len(next.Unsettled) == len(m.record.Unsettled) {
-		return nil
-	}
-	return m.write(ctx, next)
-}
-
 // HolderKnown reports whether a daemon is known to hold the promotion lock in the present
 // era.
 func (m *LockManager) HolderKnown() bool {
@@ -290,7 +253,7 @@
 // held.
 func (m *LockManager) tenure() lockRecord {
 	next := m.record
-	next.Holder, next.Process, next.Era = m.name, m.process, m.presentEra()
+	next.Holder, next.Process, next.Era = m.name, m.process, m.Era()
 	next.Token = max(next.Token+1, uint64(next.Era-store.UnannouncedEra)*tokensPerEra)
 	return next
 }
@@ -307,35 +270,17 @@
 	return out
 }
 
-// presentEra returns the highest era of the store seen so far.
-func (m *LockManager) presentEra() store.Era {
-	return store.Era(m.era.Load())
-}
-
-// vacant reports whether the known record names no holder of the present era: there is no
-// record, or it was written in an earlier era. m.mu must be held.
-func (m *LockManager) vacant() bool {
-	present := m.presentEra()
-	return m.record.Holder == "" || m.object.Era != present || m.record.writtenIn() != present
-}
-
 // refresh reads the record unless the last read is younger than recheckAfter, or shows that
 // the lock can't be taken yet. m.mu must be held.
 func (m *LockManager) refresh(ctx context.Context) error {
 	age := m.now() - m.readAt
-	present := m.object.Era == m.presentEra()
+	present := m.object.Era == m.Era()
 	if m.readAt != 0 && present && (age < recheckAfter || m.vacant() && m.now()-m.unchangedSince < takeoverAfter) {
 		return nil
 	}
 	return m.read(ctx)
 }
 
-// neverHeld reports whether nobody has ever held the promotion lock: there is no record, and
-// a store that announces no eras does not lose one. m.mu must be held.
-func (m *LockManager) neverHeld() bool {
-	return m.object.Version == 0 && m.presentEra() == store.UnannouncedEra
-}
-
 // mustWaitForHolder reports whether another daemon holds the promotion lock and may not be
 // taken over yet. The holder of an earlier era is not known, because the store may have lost
 // its record; it acts no later than one of this era that has written nothing since the era
@@ -411,40 +356,6 @@
 	return held != 0 && held == m.era.Load()
 }
 
-// ObservePoint records that the store has reached a point of its history. It shows how long
-// the holder has not written the record when a promotion is needed, and a new era.
-func (m *LockManager) ObservePoint(p store.Point) {
-	m.observeEra(p.Era)
-	m.revisions.add(p, m.now())
-}
-
-// observeEra records an era of the store. A later one than before makes the known record
-// void.
-func (m *LockManager) observeEra(era store.Era) {
-	for {
-		known := m.era.Load()
-		if uint64(era) <= known {
-			return
-		}
-		if m.era.CompareAndSwap(known, uint64(era)) {
-			if known != 0 {
-				m.erasChanged.Store(true)
-			}
-			return
-		}
-	}
-}
-
-// SawOneEra reports whether the store has not begun a new era since this process started.
-func (m *LockManager) SawOneEra() bool {
-	return !m.erasChanged.Load()
-}
-
-// Era returns the present era of the store, zero if it is not known yet.
-func (m *LockManager) Era() store.Era {
-	return m.presentEra()
-}
-
 // RequestPromotion asks the holder, through an object of the store, to promote the group
 // to term. It does nothing if the group's request already has that term or a higher one.
 func (m *LockManager) RequestPromotion(ctx context.Context, group string, term position.Term) error {
--- a/internal/failover/settlement.go
+++ b/internal/failover/settlement.go
@@ -42,6 +42,42 @@
 	next.Unsettled = s.Unsettled
 }
 
+// Settle completes the intents of groups of which it was not known, when this daemon took
+// the lock, whether they were promoted in an earlier era. It does nothing if there are none
+// or another daemon holds the lock.
+func (m *LockManager) Settle(ctx context.Context) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holdsLock() || len(m.record.Unsettled) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	next := m.record
+	m.settleEarlierEras(ctx, &next, m.record.Unsettled)
+	if len(next.Unsettled) == len(m.record.Unsettled) {
+		return nil
+	}
+	return m.write(ctx, next)
+}
+
+// MarkSettled records that a promotion of the group under lock d led to a leader of the given
+// term, which settles what was not known of its earlier promotions. It does nothing if the
+// group is settled.
+func (m *LockManager) MarkSettled(ctx context.Context, d PromotionLock, group string, term position.Term) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holdsLock() || m.currentLock() != d || !slices.Contains(m.record.Unsettled, group) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next := m.record
+	next.Intents = raiseIntents(next.Intents, map[string]position.Term{group: term})
+	next.Unsettled = slices.DeleteFunc(slices.Clone(next.Unsettled), func(g string) bool { return g == group })
+	return m.write(ctx, next)
+}
+
 // SettleGroups asks all targets of the groups for their terms. A group is settled if its
 // list of targets is complete and all of them answered.
 func SettleGroups(ctx context.Context, groups []*backend.Group) Settlement {
