Don't ask for the primary before the intent is written

It is asked during the wait for the leases only, and the attempt ends before it demotes if the term has been joined.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -108,9 +108,6 @@
 // over if the holder does not act, and otherwise requests the promotion from the holder.
 func (p *Promoter) Promote(ctx context.Context, g *backend.Group, reason leadership.Reason, since time.Duration) error {
 	started := boottime.Now()
-	if reason == leadership.Requested && g.JoinedTerm() == 0 {
-		askForPrimary(ctx, g)
-	}
 	if reason == leadership.Requested && g.RequestedTerm() <= g.JoinedTerm() {
 		// The request was met before this daemon knew of it.
 		return nil
@@ -175,6 +172,9 @@
 		if t := askForPrimary(ctx, a.group); t != nil {
 			a.old = t
 		}
+		if err := a.checkTerm(); err != nil {
+			return "", err
+		}
 	}
 	ctxtime.Sleep(ctx, leasesEnd-holdLeadTime-boottime.Now())
 	primaryLeads := a.isPrimaryLeading(ctx)
@@ -192,15 +192,23 @@
 	if err != nil {
 		return "", err
 	}
-	if joined := leadership.JoinedTerm(observed); joined >= a.term {
-		// A promotion would lead to a term above the intent recorded in the store.
-		a.group.ObserveJoinedTerm(joined)
-		return "", fmt.Errorf("term %d of group %s has already been joined", joined, a.group.Name)
+	a.group.ObserveJoinedTerm(leadership.JoinedTerm(observed))
+	if err := a.checkTerm(); err != nil {
+		return "", err
 	}
 	ctxtime.Sleep(ctx, leasesEnd-boottime.Now())
 	return a.promoteBest(ctx, observed)
 }
 
+// checkTerm returns an error if a target has joined the term of the attempt or a later one: a
+// promotion would lead to a term above the intent recorded in the store.
+func (a *attempt) checkTerm() error {
+	if joined := a.group.JoinedTerm(); joined >= a.term {
+		return fmt.Errorf("term %d of group %s has already been joined", joined, a.group.Name)
+	}
+	return nil
+}
+
 // retirePrimary demotes the old primary. One that still serves does so until the leases on it
 // expire at leasesEnd, and a replica gets the time to receive the rest of its log.
 func (a *attempt) retirePrimary(ctx context.Context, serves bool, leasesEnd time.Duration) error {
