--- a/internal/backend/group_health.go
+++ b/internal/backend/group_health.go
@@ -9,30 +9,38 @@
 // groupHealth records since when a group needs another primary, and since when it has none
 // and nothing has happened that leads to one. The two differ: a primary that is replaced as
 // planned leads until it is demoted, and a promotion takes longer from the loss of the
-// primary than from its first sign, a hold at the next term. Measured from the need, a
-// promotion that is about to take effect would look stalled, and another one would be asked
-// for. Times are since boot.
+// primary than from its signs, a hold at the next term and a target that has joined it.
+// Measured from the need, a promotion that is about to take effect, or whose leader this
+// daemon does not reach yet, would look stalled, and another one would be asked for. Times
+// are since boot.
 type groupHealth struct {
 	// unhealthySince is when the need for a promotion or the loss of the leader was first
 	// seen; 0 for neither.
 	unhealthySince time.Duration
-	// leaderlessSince is when the leader was last found not to lead any more, or when a
-	// higher term was seen after that; 0 if there is a leader.
+	// leaderlessSince is when the leader was last found not to lead any more, or when the
+	// terms last showed progress after that; 0 if there is a leader.
 	leaderlessSince time.Duration
-	// known is the highest term seen.
-	known position.Term
+	// last are the highest terms seen.
+	last groupTerms
 }
 
-// observe records whether a leader was found, whether it is draining, and the highest term
-// that a target has joined or is held at.
-func (h *groupHealth) observe(now time.Duration, known position.Term, found, draining bool) {
+// groupTerms are the highest terms that a target of a group has joined, and that one has
+// joined or is held at.
+type groupTerms struct {
+	joined, known position.Term
+}
+
+// observe records the terms of a group, whether a leader was found, and whether it is
+// draining.
+func (h *groupHealth) observe(now time.Duration, terms groupTerms, found, draining bool) {
+	progress := terms.joined > h.last.joined || terms.known > h.last.known
 	switch {
 	case found:
 		h.leaderlessSince = 0
-	case h.leaderlessSince == 0, known > h.known:
+	case h.leaderlessSince == 0, progress:
 		h.leaderlessSince = now
 	}
-	h.known = max(h.known, known)
+	h.last = groupTerms{joined: max(h.last.joined, terms.joined), known: max(h.last.known, terms.known)}
 	if found && !draining {
 		h.unhealthySince = 0
 	} else if h.unhealthySince == 0 {
@@ -57,7 +65,7 @@
 	return elapsedSince(h.unhealthySince, now)
 }
 
-// leaderlessFor returns how long the group has had no leader and no higher term was seen, 0
+// leaderlessFor returns how long the group has had no leader and no progress of its terms, 0
 // if it has a leader.
 func (h *groupHealth) leaderlessFor(now time.Duration) time.Duration {
 	return elapsedSince(h.leaderlessSince, now)
--- a/internal/backend/group_health_test.go
+++ b/internal/backend/group_health_test.go
@@ -27,15 +27,15 @@
 	Convey("A planned replacement counts as stalled by the time without a leader, not by that of the drain", t, func() {
 		var h groupHealth
 		const drained, demoted = 10 * time.Second, 11100 * time.Millisecond
-		h.observe(drained, 1, true, true)
+		h.observe(drained, groupTerms{joined: 1, known: 1}, true, true)
 		So(h.healthy(), ShouldBeFalse)
-		h.observe(demoted, 2, false, false)
+		h.observe(demoted, groupTerms{joined: 1, known: 2}, false, false)
 		soon := drained + policy.LeaderlessAfter + 300*time.Millisecond
-		h.observe(soon, 2, false, false)
+		h.observe(soon, groupTerms{joined: 1, known: 2}, false, false)
 		So(h.unhealthyFor(soon), ShouldEqual, soon-drained)
 		So(due(&h, soon), ShouldEqual, leadership.NotNeeded)
 		So(due(&h, demoted+policy.LeaderlessAfter), ShouldEqual, leadership.PromotionStalled)
-		h.observe(soon, 2, true, false)
+		h.observe(soon, groupTerms{joined: 1, known: 2}, true, false)
 		So(h.healthy(), ShouldBeTrue)
 		So(h.unhealthyFor(soon)+h.leaderlessFor(soon), ShouldEqual, 0)
 	})
@@ -45,18 +45,28 @@
 	Convey("A failover counts as stalled by the time since its first sign, not by that without a leader", t, func() {
 		var h groupHealth
 		const lost, held = 10 * time.Second, 11400 * time.Millisecond
-		h.observe(lost, 1, false, false)
-		h.observe(held, 2, false, false)
+		h.observe(lost, groupTerms{joined: 1, known: 1}, false, false)
+		h.observe(held, groupTerms{joined: 1, known: 2}, false, false)
 		late := lost + policy.LeaderlessAfter + 500*time.Millisecond
-		h.observe(late, 2, false, false)
+		h.observe(late, groupTerms{joined: 1, known: 2}, false, false)
 		So(h.unhealthyFor(late), ShouldEqual, late-lost)
 		So(due(&h, late), ShouldEqual, leadership.NotNeeded)
 		So(due(&h, held+policy.LeaderlessAfter), ShouldEqual, leadership.PromotionStalled)
 	})
+	// Seen on a day with a primary that is cut off from a home: it knew the new term from a
+	// replica and reached the new primary 0.3 s after it had asked for another one.
+	Convey("A target that has joined the new term shows progress too", t, func() {
+		var h groupHealth
+		const lost, joined = 10 * time.Second, 13 * time.Second
+		h.observe(lost, groupTerms{joined: 1, known: 2}, false, false)
+		h.observe(joined, groupTerms{joined: 2, known: 2}, false, false)
+		So(h.leaderlessFor(joined+time.Second), ShouldEqual, time.Second)
+		So(due(&h, joined+time.Second), ShouldEqual, leadership.NotNeeded)
+	})
 	Convey("A lost leader counts from the first look that did not find it", t, func() {
 		var h groupHealth
-		h.observe(time.Second, 1, false, false)
-		h.observe(2*time.Second, 1, false, false)
+		h.observe(time.Second, groupTerms{joined: 1, known: 1}, false, false)
+		h.observe(2*time.Second, groupTerms{joined: 1, known: 1}, false, false)
 		So(h.leaderlessFor(3*time.Second), ShouldEqual, 2*time.Second)
 		So(h.unhealthyFor(3*time.Second), ShouldEqual, 2*time.Second)
 	})
--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -127,7 +127,7 @@
 	case g.Leader() != nil && !m.leaderUsable():
 		g.setLeader(nil)
 	}
-	m.health.observe(now, g.KnownTerm(), found, found && m.leaderDraining(leader))
+	m.health.observe(now, groupTerms{joined: g.JoinedTerm(), known: g.KnownTerm()}, found, found && m.leaderDraining(leader))
 	if m.health.healthy() {
 		return
 	}
