--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,9 +29,10 @@
 
 // Dialer opens connections to targets.
 type Dialer interface {
-	// Dial connects to the target id of a group. It returns a *RefusedError if another
-	// target listens at the address or if the target has no free connection.
-	Dial(ctx context.Context, address, group, id string) (Conn, error)
+	// Dial connects to the target id of a group, on behalf of a tenant or, if that is
+	// empty, of this program itself. It returns a *RefusedError if another target listens
+	// at the address or if the target has no free connection.
+	Dial(ctx context.Context, address, group, tenant, id string) (Conn, error)
 }
 
 // RefusedError is the error for a target that refuses a connection or a control
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -261,7 +261,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.target.counters.dials.Inc()
-	conn, err := p.dialer.Dial(ctx, info.Address, info.Group, info.ID)
+	conn, err := p.dialer.Dial(ctx, info.Address, info.Group, "", info.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -23,7 +23,7 @@
 // handshakeTime is how long a dial of a cappedDialer takes.
 const handshakeTime = 12 * time.Millisecond
 
-func (d *cappedDialer) Dial(context.Context, string, string, string) (Conn, error) {
+func (d *cappedDialer) Dial(context.Context, string, string, string, string) (Conn, error) {
 	time.Sleep(handshakeTime)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -22,7 +22,7 @@
 // unreachableDialer fails every dial.
 type unreachableDialer struct{}
 
-func (unreachableDialer) Dial(context.Context, string, string, string) (Conn, error) {
+func (unreachableDialer) Dial(context.Context, string, string, string, string) (Conn, error) {
 	return nil, errors.New("target unreachable")
 }
 
@@ -174,7 +174,7 @@
 // notifyingDialer fails every dial and sends a notification of it.
 type notifyingDialer chan struct{}
 
-func (d notifyingDialer) Dial(context.Context, string, string, string) (Conn, error) {
+func (d notifyingDialer) Dial(context.Context, string, string, string, string) (Conn, error) {
 	select {
 	case d <- struct{}{}:
 	default:
@@ -214,7 +214,7 @@
 // unreachable hangs until its context ends.
 type replicaDialer struct{ unreachable string }
 
-func (r replicaDialer) Dial(ctx context.Context, address, _, _ string) (Conn, error) {
+func (r replicaDialer) Dial(ctx context.Context, address, _, _, _ string) (Conn, error) {
 	if address == r.unreachable {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -47,6 +47,8 @@
 	Objective time.Duration
 	// Priority orders requests in a queue; 0 is served first.
 	Priority int
+	// Public reports whether callers need no key.
+	Public bool
 }
 
 // GroupLimits holds the declared limits of a group.
@@ -67,6 +69,11 @@
 	// TransactionIdle limits the time that a transaction may be idle; zero means no
 	// limit.
 	TransactionIdle time.Duration
+	// Tenants maps the names of tenants to their limits. It is nil in a deployment
+	// without tenants, where every route is public.
+	Tenants map[string]Tenant
+	// Keys maps the digest of each API key to the name of its tenant.
+	Keys map[KeyDigest]string
 }
 
 // Target is an instance of a group as the platform lists it.
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -44,7 +44,7 @@
 	closed   atomic.Bool
 }
 
-func (f *fakeTarget) Dial(context.Context, string, string, string) (backend.Conn, error) {
+func (f *fakeTarget) Dial(context.Context, string, string, string, string) (backend.Conn, error) {
 	f.dials.Add(1)
 	if f.full.Load() {
 		return nil, &backend.RefusedError{Code: query.TooManyConnections}
--- a/internal/node/positions_test.go
+++ b/internal/node/positions_test.go
@@ -16,7 +16,7 @@
 	spec := tc.group.ServerSpec(target)
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		c, err := platform.TargetDialer{}.Dial(ctx, spec["addr"].(string), "grp", tc.group.Targets[target].ID)
+		c, err := platform.TargetDialer{}.Dial(ctx, spec["addr"].(string), "grp", "", tc.group.Targets[target].ID)
 		cancel()
 		if err != nil {
 			return
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -109,6 +109,8 @@
 	WrongTarget
 	TooManyConnections
 	NoDatabase
+	// Unauthorized means that the caller's key is unknown or was revoked.
+	Unauthorized
 	// Unsure means that the statement may have run.
 	Unsure
 	TimedOut
@@ -123,7 +125,7 @@
 
 var codeNames = map[Code]string{
 	OK: "ok", Busy: "busy", Aborted: "aborted", Behind: "behind", ReadOnly: "read_only", WrongTarget: "wrong_target",
-	TooManyConnections: "too_many_connections", NoDatabase: "no_database", Unsure: "unsure", TimedOut: "timed_out",
+	TooManyConnections: "too_many_connections", NoDatabase: "no_database", Unauthorized: "unauthorized", Unsure: "unsure", TimedOut: "timed_out",
 	ExecutionFailed: "failed", NoStatement: "no_statement", Bad: "bad", Other: "other",
 }
 
--- a/internal/stmtunit/stmtunit.go
+++ b/internal/stmtunit/stmtunit.go
@@ -19,6 +19,10 @@
 	// Session identifies the caller's session, so that the home can reuse the
 	// pooled connection that served it before.
 	Session uint64
+	// Tenant is the name of the caller's tenant, and Key the digest of the key that
+	// identified it. Both are zero on a public route.
+	Tenant string            `cbor:",omitempty"`
+	Key    catalog.KeyDigest `cbor:",omitempty"`
 	// Route is the route of the caller's database in the configuration Version of the
 	// gateway.
 	Route   catalog.Route
