Authenticate callers by API key and end sessions of revoked keys

The second word of a caller's first message is an API key. It was taken for a free name and logged. After a new configuration the sessions whose key no tenant owns are ended, and transactions of removed tenants or keys are rolled back. Errors about the first message no longer quote it.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,8 +23,8 @@
 // Conn is a connection from a caller. It is used by one goroutine, except that
 // SetReadDeadline and Close may be called by any goroutine.
 type Conn interface {
-	// ReadStart reads the first message. The name of the caller may be empty.
-	ReadStart() (database, caller string, err error)
+	// ReadStart reads the first message. The key may be empty.
+	ReadStart() (database, key string, err error)
 	// ReadStatement reads the next statement.
 	ReadStatement() (query.Statement, error)
 	// Buffered reports whether bytes of the next message are already buffered.
@@ -87,6 +87,9 @@
 	mu sync.Mutex
 	// waitingForCaller is true while the session reads the next statement.
 	waitingForCaller bool // guarded by mu
+	// transactionTenant is the tenant of the open transaction while the session reads the
+	// next statement, empty if there is none.
+	transactionTenant string // guarded by mu
 }
 
 // Serve accepts connections until the listener is closed.
@@ -125,27 +128,40 @@
 	if err := c.SetReadDeadline(time.Now().Add(startTimeout)); err != nil {
 		return nil, err
 	}
-	database, caller, err := c.ReadStart()
+	database, key, err := c.ReadStart()
 	if err != nil {
 		return nil, fmt.Errorf("read start message: %w", err)
 	}
+	var digest catalog.KeyDigest
+	if key != "" {
+		digest = catalog.DigestKey(key)
+	}
 	s.waitUntilPrepared()
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return nil, err
 	}
-	if _, _, code := s.Configuration.Route(database); code != query.OK {
-		s.Log.Failure("session_refused", "database", database, "caller", caller, "code", code.String(), "configured", s.Configuration.Current() != nil)
-		return nil, errors.Join(fmt.Errorf("no route to %q", database), c.WriteRefusal(code, "no route to this database"))
+	if _, code := lookUpAccess(s.Configuration.Current(), database, digest); code != query.OK {
+		return nil, s.refuseStart(c, database, code)
 	}
 	if err := c.WriteReady(); err != nil {
 		return nil, err
 	}
-	return &sessionConn{conn: c, state: s.newSession(database, caller)}, nil
+	return &sessionConn{conn: c, state: s.newSession(database, digest)}, nil
+}
+
+// refuseStart refuses a new session with a code of lookUpAccess and returns the reason.
+func (s *Server) refuseStart(c Conn, database string, code query.Code) error {
+	message := "no route to this database"
+	if code == query.Unauthorized {
+		message = "the key is unknown"
+	}
+	s.Log.Failure("session_refused", "database", database, "code", code.String(), "reason", accessReason(code), "configured", s.Configuration.Current() != nil)
+	return errors.Join(fmt.Errorf("session refused: %s", message), c.WriteRefusal(code, message))
 }
 
-func (s *Server) newSession(database, caller string) *Session {
+func (s *Server) newSession(database string, key catalog.KeyDigest) *Session {
 	return &Session{
-		ID: s.SessionBase + lastSessionNumber.Add(1), Database: database, Caller: caller,
+		ID: s.SessionBase + lastSessionNumber.Add(1), Database: database, key: key,
 		configuration: s.Configuration, homes: s.Homes, log: s.Log,
 		environment: query.Environment{Values: map[string]string{}, Prepared: map[string]query.Prepared{}},
 	}
@@ -188,13 +204,18 @@
 		if err := ses.conn.WriteAnswer(a); err != nil {
 			return fmt.Errorf("write answer: %w", err)
 		}
+		if a.Code == query.Unauthorized && ses.state.isRevoked() {
+			return errKeyRevoked
+		}
 	}
 }
 
 // readStatement reads the next statement. Meanwhile it expires a transaction that is idle
 // for too long. It returns errLeaving if the daemon is shutting down and the session has no
-// open transaction.
+// open transaction, and errKeyRevoked if the session's key was revoked and its caller has
+// sent no statement.
 func (s *Server) readStatement(ses *sessionConn) (query.Statement, error) {
+	revoked := false
 	for {
 		idleUntil, err := s.setReadDeadline(ses)
 		if err != nil {
@@ -207,6 +228,15 @@
 			return st, err
 		}
 		switch {
+		case ses.state.isRevoked():
+			ses.state.rollBackRevoked()
+			// A statement that has arrived in part gets one more leaveReadTimeout.
+			if revoked || !ses.conn.Buffered() {
+				return query.Statement{}, errKeyRevoked
+			}
+			revoked = true
+		case ses.state.transactionFault() != "":
+			ses.state.ExpireTransaction(ses.state.transactionFault())
 		case !ses.state.InTransaction():
 			if s.leaving.Load() && !ses.conn.Buffered() {
 				return query.Statement{}, errLeaving
@@ -219,7 +249,12 @@
 	}
 }
 
-// Read timeouts while the daemon is shutting down.
+// leaveReadDeadline returns the end of the wait for a statement of a session that ends.
+func leaveReadDeadline() time.Time {
+	return time.Now().Add(leaveReadTimeout)
+}
+
+// Read timeouts while the daemon is shutting down or a session's key is revoked.
 const (
 	// leaveReadTimeout is how long an idle session is still read, so that a statement
 	// already in transit is answered.
@@ -235,11 +270,13 @@
 	var idleUntil, deadline time.Time
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
-	ses.waitingForCaller = true
+	ses.waitingForCaller, ses.transactionTenant = true, ses.state.transactionTenant()
 	switch {
+	case ses.state.isRevoked(), ses.state.transactionFault() != "":
+		deadline = leaveReadDeadline()
 	case !ses.state.InTransaction():
 		if s.leaving.Load() {
-			deadline = time.Now().Add(leaveReadTimeout)
+			deadline = leaveReadDeadline()
 		}
 	case s.endingTransactions.Load():
 		deadline = time.Now().Add(failedTransactionTimeout)
@@ -265,7 +302,7 @@
 	defer s.mu.Unlock()
 	if s.waitingForCaller {
 		// An error means that the connection is already closed.
-		_ = s.conn.SetReadDeadline(time.Now().Add(leaveReadTimeout))
+		_ = s.conn.SetReadDeadline(leaveReadDeadline())
 	}
 }
 
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -36,8 +36,9 @@
 type Session struct {
 	ID       uint64
 	Database string
-	Caller   string
 
+	// key is the digest of the caller's key, zero if the caller sent none.
+	key           catalog.KeyDigest
 	configuration *catalog.Holder
 	homes         HomeFinder
 	log           *eventlog.Log
@@ -52,9 +53,9 @@
 
 // transaction is the open transaction of a session.
 type transaction struct {
-	begin   query.Statement
-	route   catalog.Route
-	version uint64
+	begin query.Statement
+	// access is that of the unit; until it is opened, that of the begin.
+	access access
 	// unit is nil until the first statement runs at a home.
 	unit stmtunit.Unit
 	// failed is true if the transaction was rolled back and the caller must still end it;
@@ -83,6 +84,13 @@
 
 // Run runs one statement, which arrived at the given time since boot.
 func (s *Session) Run(st query.Statement, arrived time.Duration) query.Answer {
+	if s.isRevoked() {
+		s.rollBackRevoked()
+		return s.refuse(st, query.Unauthorized, reasonUnknownKey)
+	}
+	if fault := s.transactionFault(); fault != "" {
+		s.ExpireTransaction(fault)
+	}
 	if s.tx != nil && s.tx.failed && st.Kind != query.Commit && st.Kind != query.Rollback {
 		if s.tx.unreported {
 			s.tx.unreported = false
@@ -131,11 +139,11 @@
 	if s.tx != nil {
 		return query.Failure(query.Bad, s.state(), "a transaction is already open")
 	}
-	route, version, code := s.configuration.Route(s.Database)
+	a, code := s.lookUpAccess()
 	if code != query.OK {
-		return s.refuse(st, code, "no_route")
+		return s.refuse(st, code, accessReason(code))
 	}
-	s.tx = &transaction{begin: st, route: route, version: version}
+	s.tx = &transaction{begin: st, access: a}
 	return query.Success(query.Open)
 }
 
@@ -148,11 +156,11 @@
 	if s.tx != nil {
 		return s.runInTransaction(st, arrived)
 	}
-	route, version, code := s.configuration.Route(s.Database)
+	a, code := s.lookUpAccess()
 	if code != query.OK {
-		return s.refuse(st, code, "no_route")
+		return s.refuse(st, code, accessReason(code))
 	}
-	header := s.header(route, version)
+	header := s.header(a)
 	writes := s.environment.Writes(st)
 	u, reply := s.openUnit(header, st, arrived, !writes)
 	if u != nil {
@@ -175,8 +183,14 @@
 	return reply.Answer
 }
 
-func (s *Session) header(route catalog.Route, version uint64) stmtunit.Header {
-	h := stmtunit.Header{Session: s.ID, Route: route, Version: version, Seen: s.lastCommit}
+// lookUpAccess returns the session's access in the configuration in force. The code is that
+// of the function lookUpAccess.
+func (s *Session) lookUpAccess() (access, query.Code) {
+	return lookUpAccess(s.configuration.Current(), s.Database, s.key)
+}
+
+func (s *Session) header(a access) stmtunit.Header {
+	h := stmtunit.Header{Session: s.ID, Tenant: a.tenant.Name, Key: a.key, Route: a.route, Version: a.version, Seen: s.lastCommit}
 	if !s.lastCommit.IsZero() {
 		h.SeenAge = boottime.Now() - s.lastCommitAt
 	}
@@ -258,6 +272,34 @@
 	return reply.Answer
 }
 
+// refusedFirst returns the reply for a refused first statement of a transaction, which fails
+// the transaction.
+func refusedFirst(a query.Answer) stmtunit.Reply {
+	a.State = query.Failed
+	return stmtunit.Reply{Answer: a}
+}
+
+// transactionTenant returns the tenant of the open transaction, empty if there is none.
+func (s *Session) transactionTenant() string {
+	if s.tx == nil {
+		return ""
+	}
+	return s.tx.access.tenant.Name
+}
+
+// rollBackRevoked rolls back the open transaction, if any, because the session's key was
+// revoked.
+func (s *Session) rollBackRevoked() {
+	if s.tx == nil {
+		return
+	}
+	if !s.tx.failed {
+		requestmetrics.Refused(reasonKeyRevoked)
+		s.log.Failure("transaction_expired", "session", s.ID, "database", s.Database, "reason", reasonKeyRevoked, "tenant", s.tx.access.tenant.Name)
+	}
+	s.endTransaction()
+}
+
 // runInUnit runs a statement in the unit of the open transaction, and opens the unit first
 // if there is none. Until the commit the first statement is repeatable, because a lost
 // transaction leaves no changes.
@@ -266,7 +308,15 @@
 	if tx.unit != nil {
 		return tx.unit.Run(s.newCall(st, arrived))
 	}
-	h := s.header(tx.route, tx.version)
+	if c := s.configuration.Current(); c != nil && c.Tenants != nil {
+		// The key may have moved to another tenant since the begin.
+		a, code := s.lookUpAccess()
+		if code != query.OK {
+			return refusedFirst(s.refuse(st, code, accessReason(code)))
+		}
+		tx.access = a
+	}
+	h := s.header(tx.access)
 	h.Begin = &tx.begin
 	u, reply := s.openUnit(h, st, arrived, st.Kind != query.Commit)
 	tx.unit = u
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -22,11 +23,19 @@
 	cutOff      bool
 	calls       []string
 	lastCommits []position.Position
-	openUnits   int
+	headers     []stmtunit.Header
+	// openUnits is atomic, because sessions end in the background.
+	openUnits atomic.Int64
+	// entered and proceed, if not nil, stop a call until proceed is closed.
+	entered, proceed chan struct{}
 }
 
+// units returns the number of open units.
+func (h *fakeHome) units() int { return int(h.openUnits.Load()) }
+
 func (h *fakeHome) Open(header stmtunit.Header) stmtunit.Unit {
-	h.openUnits++
+	h.openUnits.Add(1)
+	h.headers = append(h.headers, header)
 	h.lastCommits = append(h.lastCommits, header.Seen)
 	return &fakeUnit{h, header}
 }
@@ -38,6 +47,10 @@
 
 func (u *fakeUnit) Run(c stmtunit.Call) stmtunit.Reply {
 	u.home.calls = append(u.home.calls, c.Statement.Text)
+	if u.home.entered != nil {
+		close(u.home.entered)
+		<-u.home.proceed
+	}
 	if u.home.cutOff {
 		return stmtunit.Reply{Answer: query.Failure(query.Busy, query.Idle, "not run"), CutOff: true}
 	}
@@ -54,7 +67,7 @@
 	return r
 }
 
-func (u *fakeUnit) Close() { u.home.openUnits-- }
+func (u *fakeUnit) Close() { u.home.openUnits.Add(-1) }
 
 // fakeHomeFinder returns homes of the own failure domain and of others.
 type fakeHomeFinder struct{ own, others []*fakeHome }
@@ -81,7 +94,7 @@
 	var c catalog.Holder
 	c.Apply(&catalog.Configuration{Version: 1, Routes: map[string]catalog.Route{"db": {Database: "db", Group: "g"}}})
 	s := &Server{Homes: homes, Configuration: &c, Log: eventlog.New()}
-	return s.newSession("db", "caller")
+	return s.newSession("db", catalog.KeyDigest{})
 }
 
 func runStatement(s *Session, k query.Kind, text string) query.Answer {
@@ -94,7 +107,7 @@
 		s := newTestSession(first, second)
 		So(runStatement(s, query.Write, "w").OK(), ShouldBeTrue)
 		So(second.calls, ShouldResemble, []string{"w"})
-		So(first.openUnits+second.openUnits, ShouldEqual, 0)
+		So(first.units()+second.units(), ShouldEqual, 0)
 	})
 	Convey("A read is retried if its home is lost, a write is not", t, func() {
 		first, second := &fakeHome{outcomes: map[string]stmtunit.Outcome{"w": stmtunit.Lost, "r": stmtunit.Lost}}, &fakeHome{}
@@ -118,7 +131,7 @@
 		So(runStatement(s, query.Read, "c").Code, ShouldEqual, query.Bad)
 		So(runStatement(s, query.Commit, "COMMIT").Code, ShouldEqual, query.Aborted)
 		So(s.InTransaction(), ShouldBeFalse)
-		So(first.openUnits+second.openUnits, ShouldEqual, 0)
+		So(first.units()+second.units(), ShouldEqual, 0)
 	})
 	Convey("A commit whose home is lost is answered with Unsure and not retried", t, func() {
 		first, second := &fakeHome{outcomes: map[string]stmtunit.Outcome{"COMMIT": stmtunit.Lost}}, &fakeHome{}
@@ -142,7 +155,7 @@
 		So(runStatement(s, query.Read, "r").OK(), ShouldBeTrue)
 		So(other.calls, ShouldResemble, []string{"w", "r"})
 		So(other.lastCommits[1], ShouldResemble, position.Position{Term: 1, Index: 1})
-		So(own.openUnits+cut.openUnits+other.openUnits, ShouldEqual, 0)
+		So(own.units()+cut.units()+other.units(), ShouldEqual, 0)
 	})
 	Convey("A transaction begun in another failure domain stays there", t, func() {
 		own, other := &fakeHome{cutOff: true}, &fakeHome{}
@@ -153,13 +166,13 @@
 		So(runStatement(s, query.Write, "b").OK(), ShouldBeTrue)
 		So(runStatement(s, query.Commit, "COMMIT").OK(), ShouldBeTrue)
 		So(other.calls, ShouldResemble, []string{"a", "b", "COMMIT"})
-		So(own.openUnits+other.openUnits, ShouldEqual, 0)
+		So(own.units()+other.units(), ShouldEqual, 0)
 	})
 	Convey("If all homes are cut off, the refusal is returned", t, func() {
 		own, cut := &fakeHome{cutOff: true}, &fakeHome{cutOff: true}
 		s := newTestSessionWithFinder(fakeHomeFinder{own: []*fakeHome{own}, others: []*fakeHome{cut, {outcomes: map[string]stmtunit.Outcome{"w": stmtunit.NotRun}}}})
 		So(runStatement(s, query.Write, "w").Code, ShouldEqual, query.Busy)
-		So(own.openUnits+cut.openUnits, ShouldEqual, 0)
+		So(own.units()+cut.units(), ShouldEqual, 0)
 	})
 	Convey("A write lost at a home of another failure domain is not retried", t, func() {
 		own, lost, other := &fakeHome{cutOff: true}, &fakeHome{outcomes: map[string]stmtunit.Outcome{"w": stmtunit.Lost}}, &fakeHome{}
@@ -183,7 +196,7 @@
 		runStatement(s, query.Begin, "")
 		runStatement(s, query.Write, "a")
 		s.ExpireTransaction("transaction_idle")
-		So(h.openUnits, ShouldEqual, 0)
+		So(h.units(), ShouldEqual, 0)
 		So(runStatement(s, query.Write, "b").Code, ShouldEqual, query.Aborted)
 		So(runStatement(s, query.Write, "c").Code, ShouldEqual, query.Bad)
 		So(runStatement(s, query.Rollback, "ROLLBACK").State, ShouldEqual, query.Idle)
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -27,7 +27,8 @@
 		n.observeStoredVersion(c.Version)
 		if n.configuration.Apply(c) {
 			n.registry.Declare(c)
-			n.log.StateChange("configuration_applied", "version", c.Version, "revision", o.Version, "routes", len(c.Routes), "groups", len(c.Groups))
+			n.frontend.ConfigurationChanged()
+			n.log.StateChange("configuration_applied", "version", c.Version, "revision", o.Version, "routes", len(c.Routes), "groups", len(c.Groups), "tenants", len(c.Tenants))
 		}
 	}
 	return &feed{
