Check the tenant of a unit at its home

A gateway without contact to any source of the configuration goes on sending units of a revoked key. The home now refuses a unit whose key its own configuration, if not older than the gateway's, does not have, before it is queued and again before it is sent to a target. A key that has moved to another tenant is valid, so its unit is refused as busy.

--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -11,6 +11,10 @@
 // acquireLeader waits for a leader and a connection to it. If none is available by the
 // request's queueDeadline, it returns a nil connection and the refusal for the caller.
 func (e *Executor) acquireLeader(r *request) (*backend.LeaderView, *backend.PooledConn, *query.Answer) {
+	if r.denial.code != query.OK {
+		a := e.refuseTenant(r)
+		return nil, nil, &a
+	}
 	if !r.group.AllowLeaderRequest() {
 		r.cutOff = r.group.Isolated()
 		a := e.refuseNotRun(r, query.Busy, "not_confirmed")
@@ -34,6 +38,10 @@
 			continue
 		}
 		conn, verdict := e.acquire(r, l.Target)
+		if r.denial.code != query.OK {
+			a := e.refuseTenant(r)
+			return nil, nil, &a
+		}
 		switch verdict {
 		case backend.Acquired:
 			return l, conn, nil
@@ -58,6 +66,9 @@
 // acquire passes the gate of a target and takes a connection from its pool. It records
 // the time that this took.
 func (e *Executor) acquire(r *request, t *backend.Target) (*backend.PooledConn, backend.Verdict) {
+	if r.denial.code != query.OK {
+		return nil, backend.Overloaded
+	}
 	start := time.Now()
 	conn, verdict := e.tryAcquire(r, t)
 	observeQueue(r, verdict, time.Since(start))
@@ -100,6 +111,11 @@
 		t.Pool.Release(conn)
 		conn, verdict = nil, backend.Overloaded
 	}
+	if verdict == backend.Acquired && !e.checkTenant(r) {
+		// The key was revoked while the request waited.
+		t.Pool.Release(conn)
+		conn, verdict = nil, backend.Overloaded
+	}
 	if verdict != backend.Acquired {
 		r.leaveGate()
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -16,8 +16,11 @@
 // Executor runs units of statements on the targets of its groups. It is safe for
 // concurrent use.
 type Executor struct {
-	Groups             *backend.Registry
-	Log                *eventlog.Log
+	Groups *backend.Registry
+	Log    *eventlog.Log
+	// Configuration is that by which tenants of units are checked; nil disables the check.
+	// It must be set before the first unit is opened.
+	Configuration      *catalog.Holder
 	transactionLengths transactionLengths
 }
 
@@ -64,6 +67,9 @@
 	// gate is the target's gate that has admitted the statement; nil if none has, or the
 	// admission is used up.
 	gate *backend.Gate
+	// denial is why the configuration does not allow the unit's tenant; its code is query.OK
+	// if it does.
+	denial denial
 	// cutOff is set if this daemon can't serve the group but another may: the last
 	// confirmation reached neither the store nor a replica, or the primary has no
 	// connection left for this daemon.
@@ -79,9 +85,13 @@
 	if code != query.OK {
 		return e.refuse(r, code, "no_group", "no target is known for this database")
 	}
-	switch {
-	case u.ended:
+	if u.ended {
 		return query.Failure(query.Bad, query.Idle, "the transaction has ended")
+	}
+	if !e.checkTenant(r) {
+		return e.refuseTenant(r)
+	}
+	switch {
 	case u.tx != nil && r.statement.Kind == query.Commit:
 		return e.commit(r)
 	case u.tx != nil:
@@ -149,8 +159,14 @@
 // refuse counts and logs a refusal and returns the answer for the caller.
 func (e *Executor) refuse(r *request, code query.Code, reason, message string) query.Answer {
 	requestmetrics.Refused(reason)
-	e.Log.Failure("refused", "request", r.statement.ID, "database", r.route.Database, "group", r.route.Group, "reason", reason, "code", code.String(),
-		"config_version", r.unit.header.Version, "tries", r.attempts, "waited_ms", (boottime.Now() - r.arrivedAt).Milliseconds())
+	attrs := []any{
+		"request", r.statement.ID, "database", r.route.Database, "group", r.route.Group, "reason", reason, "code", code.String(),
+		"config_version", r.unit.header.Version, "tries", r.attempts, "waited_ms", (boottime.Now() - r.arrivedAt).Milliseconds(),
+	}
+	if tenant := r.unit.header.Tenant; tenant != "" {
+		attrs = append(attrs, "tenant", tenant)
+	}
+	e.Log.Failure("refused", attrs...)
 	return query.Failure(code, r.unit.txState(), message)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,7 @@
 		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: primarylease.New(relayReader), DrainTime: settings.DrainTime, Log: n.log,
 	})
 	local := executor.New(n.registry, n.log)
+	local.Configuration = &n.configuration
 	self := fleet.VM{
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
 		Peer: netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
