Add the quota check, strict revocation and the counters of tenants at the gateway

The gateway asks a QuotaLimiter once per operation of a tenant with a limit, before it opens a unit. With a Confirmation it refuses callers with keys while the configuration was not confirmed in time. The key digest of a unit's header is no longer sent if it is zero, so that frames of deployments without tenants stay as they were.

--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
@@ -46,6 +47,7 @@
 	reasonUnknownKey    = "unknown_key"
 	reasonKeyRevoked    = "key_revoked"
 	reasonTenantRemoved = "tenant_removed"
+	reasonStale         = "configuration_stale"
 )
 
 // accessReason returns the reason for a code of lookUpAccess other than query.OK.
@@ -91,6 +93,35 @@
 	return ""
 }
 
+// isStale reports whether callers of a database must be refused because its route requires a
+// key and the configuration was not confirmed in time. confirmation may be nil.
+func isStale(c *catalog.Configuration, confirmation *catalog.Confirmation, database string) bool {
+	if confirmation == nil || c == nil {
+		return false
+	}
+	route, ok := c.Routes[database]
+	return ok && c.RequiresKey(route) && confirmation.IsStale(boottime.Now())
+}
+
+func (s *Session) isStale() bool {
+	return isStale(s.configuration.Current(), s.confirmation, s.Database)
+}
+
+// refuseStale refuses a statement because the configuration is stale. An open transaction
+// is rolled back, because its key may have been revoked.
+func (s *Session) refuseStale(st query.Statement) query.Answer {
+	if s.tx == nil {
+		return s.refuse(st, query.Busy, reasonStale)
+	}
+	if st.Kind == query.Commit {
+		s.endTransaction()
+	} else {
+		s.closeUnit()
+		s.tx.failed = true
+	}
+	return s.refuse(st, query.Aborted, reasonStale)
+}
+
 // ConfigurationChanged ends the sessions whose key the configuration in force no longer
 // accepts, and rolls back the transactions of removed tenants. It must be called after each
 // new configuration has been applied. A session that runs a statement notices the change
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/query"
+	"github.com/laburnumrack/laburnumrack/internal/requestmetrics"
 )
 
 // Conn is a connection from a caller. It is used by one goroutine, except that
@@ -67,6 +68,13 @@
 	Log           *eventlog.Log
 	// SessionBase is added to the ids of sessions, to keep them distinct between daemons.
 	SessionBase uint64
+	// Quota limits the operations of tenants; nil means no limits.
+	Quota QuotaLimiter
+	// Confirmation, if not nil, makes the server refuse callers of routes that require a
+	// key while the configuration is stale.
+	Confirmation *catalog.Confirmation
+	// Tenants counts the operations and refusals of tenants; it may be nil.
+	Tenants *requestmetrics.Tenants
 	// Wrap returns the Conn for an accepted connection.
 	Wrap func(net.Conn) Conn
 
@@ -140,8 +148,12 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return nil, err
 	}
-	if _, code := lookUpAccess(s.Configuration.Current(), database, digest); code != query.OK {
-		return nil, s.refuseStart(c, database, code)
+	current := s.Configuration.Current()
+	if isStale(current, s.Confirmation, database) {
+		return nil, s.refuseStart(c, database, query.Busy, reasonStale)
+	}
+	if _, code := lookUpAccess(current, database, digest); code != query.OK {
+		return nil, s.refuseStart(c, database, code, accessReason(code))
 	}
 	if err := c.WriteReady(); err != nil {
 		return nil, err
@@ -149,19 +161,24 @@
 	return &sessionConn{conn: c, state: s.newSession(database, digest)}, nil
 }
 
-// refuseStart refuses a new session with a code of lookUpAccess and returns the reason.
-func (s *Server) refuseStart(c Conn, database string, code query.Code) error {
-	message := "no route to this database"
-	if code == query.Unauthorized {
-		message = "the key is unknown"
+// startMessages maps the reasons of refusals of a session to the messages for its caller.
+var startMessages = map[string]string{
+	reasonNoRoute: "no route to this database", reasonUnknownKey: "the key is unknown", reasonStale: "not run: " + reasonStale,
+}
+
+// refuseStart refuses a new session and returns the reason.
+func (s *Server) refuseStart(c Conn, database string, code query.Code, reason string) error {
+	if reason != reasonNoRoute {
+		requestmetrics.Refused(reason)
 	}
-	s.Log.Failure("session_refused", "database", database, "code", code.String(), "reason", accessReason(code), "configured", s.Configuration.Current() != nil)
-	return errors.Join(fmt.Errorf("session refused: %s", message), c.WriteRefusal(code, message))
+	s.Log.Failure("session_refused", "database", database, "code", code.String(), "reason", reason, "configured", s.Configuration.Current() != nil)
+	return errors.Join(fmt.Errorf("session refused: %s", reason), c.WriteRefusal(code, startMessages[reason]))
 }
 
 func (s *Server) newSession(database string, key catalog.KeyDigest) *Session {
 	return &Session{
 		ID: s.SessionBase + lastSessionNumber.Add(1), Database: database, key: key,
+		quota: s.Quota, tenants: s.Tenants, confirmation: s.Confirmation,
 		configuration: s.Configuration, homes: s.Homes, log: s.Log,
 		environment: query.Environment{Values: map[string]string{}, Prepared: map[string]query.Prepared{}},
 	}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -38,7 +38,12 @@
 	Database string
 
 	// key is the digest of the caller's key, zero if the caller sent none.
-	key           catalog.KeyDigest
+	key catalog.KeyDigest
+	// tenant is the name of the tenant of the last unit, empty if it had none.
+	tenant        string
+	quota         QuotaLimiter
+	tenants       *requestmetrics.Tenants
+	confirmation  *catalog.Confirmation
 	configuration *catalog.Holder
 	homes         HomeFinder
 	log           *eventlog.Log
@@ -91,6 +96,9 @@
 	if fault := s.transactionFault(); fault != "" {
 		s.ExpireTransaction(fault)
 	}
+	if st.Kind.UsesTarget() && s.isStale() {
+		return s.refuseStale(st)
+	}
 	if s.tx != nil && s.tx.failed && st.Kind != query.Commit && st.Kind != query.Rollback {
 		if s.tx.unreported {
 			s.tx.unreported = false
@@ -160,9 +168,13 @@
 	if code != query.OK {
 		return s.refuse(st, code, accessReason(code))
 	}
+	if refusal, refused := s.admit(st, a); refused {
+		return refusal
+	}
 	header := s.header(a)
 	writes := s.environment.Writes(st)
 	u, reply := s.openUnit(header, st, arrived, !writes)
+	s.countRefusal(reply)
 	if u != nil {
 		u.Close()
 	}
@@ -186,7 +198,9 @@
 // lookUpAccess returns the session's access in the configuration in force. The code is that
 // of the function lookUpAccess.
 func (s *Session) lookUpAccess() (access, query.Code) {
-	return lookUpAccess(s.configuration.Current(), s.Database, s.key)
+	a, code := lookUpAccess(s.configuration.Current(), s.Database, s.key)
+	s.tenant = a.tenant.Name
+	return a, code
 }
 
 func (s *Session) header(a access) stmtunit.Header {
@@ -306,7 +320,9 @@
 func (s *Session) runInUnit(st query.Statement, arrived time.Duration) stmtunit.Reply {
 	tx := s.tx
 	if tx.unit != nil {
-		return tx.unit.Run(s.newCall(st, arrived))
+		reply := tx.unit.Run(s.newCall(st, arrived))
+		s.countRefusal(reply)
+		return reply
 	}
 	if c := s.configuration.Current(); c != nil && c.Tenants != nil {
 		// The key may have moved to another tenant since the begin.
@@ -316,9 +332,13 @@
 		}
 		tx.access = a
 	}
+	if refusal, refused := s.admit(st, tx.access); refused {
+		return refusedFirst(refusal)
+	}
 	h := s.header(tx.access)
 	h.Begin = &tx.begin
 	u, reply := s.openUnit(h, st, arrived, st.Kind != query.Commit)
+	s.countRefusal(reply)
 	tx.unit = u
 	return reply
 }
@@ -385,9 +405,21 @@
 
 // refuse returns the answer to a statement that had no effect.
 func (s *Session) refuse(st query.Statement, code query.Code, reason string) query.Answer {
+	return s.refuseWithMessage(st, code, reason, "not run: "+reason)
+}
+
+// refuseWithMessage counts and logs a refusal and returns the answer with a message.
+func (s *Session) refuseWithMessage(st query.Statement, code query.Code, reason, message string) query.Answer {
 	requestmetrics.Refused(reason)
-	s.log.Failure("refused", "request", st.ID, "database", s.Database, "group", s.group(), "reason", reason, "code", code.String(), "config_version", s.configuration.Version())
-	return query.Failure(code, s.state(), "not run: "+reason)
+	attrs := []any{"request", st.ID, "database", s.Database, "group", s.group(), "reason", reason, "code", code.String(), "config_version", s.configuration.Version()}
+	if s.tenant != "" {
+		attrs = append(attrs, "tenant", s.tenant)
+		if s.tenants != nil {
+			s.tenants.Refused(s.tenant, reason)
+		}
+	}
+	s.log.Failure("refused", attrs...)
+	return query.Failure(code, s.state(), message)
 }
 
 // answerUnknown returns the answer to a statement whose home was lost during it. A write
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/membership"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
+	"github.com/laburnumrack/laburnumrack/internal/requestmetrics"
 	"github.com/laburnumrack/laburnumrack/platform"
 )
 
@@ -142,6 +143,7 @@
 	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerConnected}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
+		Tenants:     requestmetrics.NewTenants(metrics.GetDefaultSet()),
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
 		Wrap:        func(c net.Conn) frontend.Conn { return platform.NewCallerConn(c) },
 	}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -37,6 +37,17 @@
 	Demote
 )
 
+// UsesTarget reports whether a caller's statement of this kind runs on a target or begins
+// a transaction there.
+func (k Kind) UsesTarget() bool {
+	switch k {
+	case Begin, Commit, Read, Write, Execute:
+		return true
+	default:
+		return false
+	}
+}
+
 // Statement is a decoded statement. Its kind determines which fields are set.
 type Statement struct {
 	// ID is the id that the caller gave the request; empty for laburnumrack's own
--- a/internal/stmtunit/stmtunit.go
+++ b/internal/stmtunit/stmtunit.go
@@ -22,7 +22,7 @@
 	// Tenant is the name of the caller's tenant, and Key the digest of the key that
 	// identified it. Both are zero on a public route.
 	Tenant string            `cbor:",omitempty"`
-	Key    catalog.KeyDigest `cbor:",omitempty"`
+	Key    catalog.KeyDigest `cbor:",omitzero"`
 	// Route is the route of the caller's database in the configuration Version of the
 	// gateway.
 	Route   catalog.Route
