Give the connections of a pool a tenant

A target applies the rights of the tenant that a connection was opened for, so a statement now only gets a connection of its own tenant. At the limit, an idle connection of another tenant is closed and its place is used. A released connection yields to another tenant whose request has waited for longer, so that no tenant keeps all connections. Each release, discard, failed dial and rise of the limit re-evaluates who can be served.

A replacement that a full target refuses prolongs the backoff of additional dials, so that a target is refused no more often than before. A dial that fails for one tenant leaves the requests of the others waiting.

Which connection is closed is decided by a simple rule so far: a tenant's second idle one, or else the one idle longest. Without tenants the pool is as before.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -50,6 +50,9 @@
 type PooledConn struct {
 	Conn
 	target *Target
+	// tenant is the tenant that the connection was opened for, empty for none. Only
+	// control statements may run for another one.
+	tenant string
 	// values are the session settings and prepared the names of the prepared statements
 	// that the connection has at the target.
 	values   map[string]string
@@ -68,6 +71,11 @@
 	return c.target
 }
 
+// Tenant returns the tenant that the connection was opened for, empty for none.
+func (c *PooledConn) Tenant() string {
+	return c.tenant
+}
+
 // setupStatements returns the statements that bring the session state of the connection
 // to e before s runs. It records e as reached: a connection on which one of the
 // statements fails is closed.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,6 +25,13 @@
 	firstBackoff = 50 * time.Millisecond
 	// aliveCheckIdle is the idle time after which a connection is checked before use.
 	aliveCheckIdle = 20 * time.Millisecond
+	// sameTenantHeadStart is how much later a request of the tenant of a released
+	// connection may have arrived than that of another tenant and still be served first.
+	// It is about the time that a new connection for the other tenant takes.
+	sameTenantHeadStart = 30 * time.Millisecond
+	// maxTenantDialFailures is the number of failed dials after which the requests of a
+	// tenant without a connection fail although other tenants have connections.
+	maxTenantDialFailures = 2
 )
 
 // Verdict is the result of acquiring a connection.
@@ -49,12 +56,32 @@
 
 // waiter is a request that waits for a connection.
 type waiter struct {
+	tenant string
+	// control is set for a control statement, which may use a connection of any tenant.
+	control  bool
 	priority int
 	seq      uint64
+	since    time.Time
+	// failures is the number of dials for the tenant that have failed meanwhile.
+	failures int
 	result   chan *PooledConn // receives nil if the target is unreachable
 }
 
-// Pool holds the connections of one daemon to one target. It is safe for concurrent use.
+// canUse reports whether the request may run on a connection of the given tenant.
+func (w *waiter) canUse(tenant string) bool {
+	return w.control || w.tenant == tenant
+}
+
+// tenantConns counts the connections of one tenant in a pool.
+type tenantConns struct {
+	// open includes those that are being dialed, which dialing counts.
+	open, dialing int
+}
+
+// Pool holds the connections of one daemon to one target. A connection belongs to the
+// tenant that it was opened for; connections without a tenant are a kind of their own. At
+// the limit, a connection for one tenant takes the place of an idle one of another. A Pool
+// is safe for concurrent use.
 type Pool struct {
 	target *Target
 	dialer Dialer
@@ -62,17 +89,27 @@
 	transactions transactionRoom
 
 	mu        sync.Mutex
-	idle      []*PooledConn // guarded by mu; ordered by last use, the most recent last
-	waiters   []*waiter     // guarded by mu; ordered by priority, then by arrival
-	open      int           // guarded by mu; number of idle, lent and dialing connections
-	dialing   int           // guarded by mu
-	pinned    int           // guarded by mu; number of connections held by transactions
-	seq       uint64        // guarded by mu; seq of the last waiter
-	base      int           // guarded by mu; number of connections to keep open when idle
-	limit     int           // guarded by mu; maximum of open
-	fullUntil time.Time     // guarded by mu; end of the time for which the target counts as full
-	redialAt  time.Time     // guarded by mu; end of the backoff after the target was full
-	closed    bool          // guarded by mu
+	tenants   map[string]tenantConns // guarded by mu; by tenant, without tenants that have none
+	idle      []*PooledConn          // guarded by mu; ordered by last use, the most recent last
+	waiters   []*waiter              // guarded by mu; ordered by priority, then by arrival
+	open      int                    // guarded by mu; number of idle, lent and dialing connections
+	dialing   int                    // guarded by mu
+	pinned    int                    // guarded by mu; number of connections held by transactions
+	seq       uint64                 // guarded by mu; seq of the last waiter
+	base      int                    // guarded by mu; number of connections to keep open when idle
+	limit     int                    // guarded by mu; maximum of open
+	fullUntil time.Time              // guarded by mu; end of the time for which the target counts as full
+	redialAt  time.Time              // guarded by mu; end of the backoff after the target was full
+	// replaceAt is the same for a dial in the place of a connection that was closed for it.
+	replaceAt      time.Time            // guarded by mu
+	tenantRedialAt map[string]time.Time // guarded by mu; end of the backoff of a tenant whose dial failed
+	tenanted       bool                 // guarded by mu; set once a request has had a tenant
+	closed         bool                 // guarded by mu
+}
+
+// newPool returns a pool without connections.
+func newPool(t *Target, dialer Dialer) *Pool {
+	return &Pool{target: t, dialer: dialer, tenants: make(map[string]tenantConns), tenantRedialAt: make(map[string]time.Time)}
 }
 
 // SetLimits sets how many connections are kept open when idle and how many may be open.
@@ -82,6 +119,9 @@
 	p.base, p.limit = base, limit
 	p.updateGate()
 	p.updateTransactionRoom()
+	if p.tenanted {
+		p.dialIfNeeded(0)
+	}
 }
 
 // ReserveTransaction waits until another transaction may hold a connection, at most until
@@ -130,39 +170,47 @@
 // controlPriority is the priority of control statements, which go before all requests.
 const controlPriority = -1
 
-// AcquireControl returns a connection for a control statement. It may open one above the
-// limit, so that the health of a target can be checked while all other connections wait
-// for answers.
+// AcquireControl returns a connection of any tenant for a control statement. It may open
+// one above the limit, so that the health of a target can be checked while all other
+// connections wait for answers.
 func (p *Pool) AcquireControl(until time.Time) (*PooledConn, Verdict) {
-	return p.acquire(0, controlPriority, 1, until)
+	return p.acquire(&waiter{control: true, priority: controlPriority}, 0, 1, until)
 }
 
-// Acquire returns a connection for a session, and waits for one until the given time.
-// Requests with a lower priority value go first.
+// Acquire is AcquireFor for a request without a tenant.
 func (p *Pool) Acquire(session uint64, priority int, until time.Time) (*PooledConn, Verdict) {
-	return p.acquire(session, priority, 0, until)
+	return p.AcquireFor("", session, priority, until)
+}
+
+// AcquireFor returns a connection of a tenant for a session, and waits for one until the
+// given time. Requests with a lower priority value go first.
+func (p *Pool) AcquireFor(tenant string, session uint64, priority int, until time.Time) (*PooledConn, Verdict) {
+	return p.acquire(&waiter{tenant: tenant, priority: priority}, session, 0, until)
 }
 
-// acquire is Acquire with a number of extra connections that may be opened above the
-// limit.
-func (p *Pool) acquire(session uint64, priority, extra int, until time.Time) (*PooledConn, Verdict) {
+// acquire returns a connection for a request, and waits for one until the given time. It
+// may open a number of extra connections above the limit.
+func (p *Pool) acquire(w *waiter, session uint64, extra int, until time.Time) (*PooledConn, Verdict) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, Closed
 	}
-	if c := p.takeIdle(session, time.Now()); c != nil {
+	now := time.Now()
+	if c := p.takeIdle(w, session, now); c != nil {
 		p.mu.Unlock()
+		p.countFound(w, foundIdle)
 		return c, Acquired
 	}
-	wait := time.Until(until)
+	wait := until.Sub(now)
 	if wait <= 0 {
 		p.mu.Unlock()
 		return nil, TimedOut
 	}
 	p.seq++
-	w := &waiter{priority: priority, seq: p.seq, result: make(chan *PooledConn, 1)}
+	w.seq, w.since, w.result = p.seq, now, make(chan *PooledConn, 1)
 	p.enqueue(w)
+	p.tenanted = p.tenanted || w.tenant != ""
 	p.dialIfNeeded(extra)
 	p.mu.Unlock()
 
@@ -188,27 +236,64 @@
 	return c, Acquired
 }
 
-// takeIdle removes an idle connection that is still open and returns it, preferably the
-// one that the session used last. It returns nil if there is none. p.mu must be held.
-func (p *Pool) takeIdle(session uint64, now time.Time) *PooledConn {
-	for len(p.idle) > 0 {
-		at := len(p.idle) - 1
+// takeIdle removes an idle connection that a request can use and that is still open, and
+// returns it: preferably the one that the session used last, and for a control statement
+// one without a tenant. It returns nil if there is none. p.mu must be held.
+func (p *Pool) takeIdle(w *waiter, session uint64, now time.Time) *PooledConn {
+	for {
+		at, best := -1, -1
 		for i, c := range p.idle {
+			preference := 0
 			if c.session == session {
-				at = i
+				preference++
 			}
+			if c.tenant == w.tenant {
+				preference += 2
+			}
+			if w.canUse(c.tenant) && preference >= best {
+				at, best = i, preference
+			}
+		}
+		if at < 0 {
+			return nil
 		}
-		c := p.idle[at]
-		p.idle = slices.Delete(p.idle, at, at+1)
+		c := p.removeIdle(at)
 		if now.Sub(c.idleSince) < aliveCheckIdle || c.Alive() {
 			c.session = session
 			return c
 		}
-		p.open--
+		p.closeConn(c)
 		p.target.connectionEnded()
-		closeQuietly(c.Conn)
 	}
-	return nil
+}
+
+// removeIdle removes the idle connection at an index and returns it. p.mu must be held.
+func (p *Pool) removeIdle(at int) *PooledConn {
+	c := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	return c
+}
+
+// countTenant adds to the numbers of connections of a tenant and of the pool. p.mu must be
+// held.
+func (p *Pool) countTenant(tenant string, open, dialing int) {
+	p.open += open
+	p.dialing += dialing
+	t := p.tenants[tenant]
+	t.open += open
+	t.dialing += dialing
+	if t == (tenantConns{}) {
+		delete(p.tenants, tenant)
+		return
+	}
+	p.tenants[tenant] = t
+}
+
+// closeConn closes a connection, which must not be among the idle ones any more. p.mu must
+// be held.
+func (p *Pool) closeConn(c *PooledConn) {
+	closeQuietly(c.Conn)
+	p.countTenant(c.tenant, -1, 0)
 }
 
 // enqueue inserts a waiter by priority and arrival. p.mu must be held.
@@ -235,77 +320,175 @@
 	return true
 }
 
-// dialIfNeeded opens connections while more requests wait than dials are running and the
-// limit plus extra is not reached. It dials as many at once as are established, at least
-// one, so that the homes that connect to a target at the same time, with the connections
-// of their dead predecessors still counted there, get one each before one of them gets
-// all that are left. It opens none while it backs off from a full target.
-// p.mu must be held.
+// dialIfNeeded opens connections for the requests that wait and for which no dial is
+// running. It dials as many at once as are established, at least one, so that the homes
+// that connect to a target at the same time, with the connections of their dead
+// predecessors still counted there, get one each before one of them gets all that are
+// left. The connections of the pool may exceed the limit by extra for requests without a
+// tenant. p.mu must be held.
 func (p *Pool) dialIfNeeded(extra int) {
-	for !p.closed && p.dialing < len(p.waiters) && p.open < p.limit+extra {
-		if established := p.open - p.dialing; p.dialing >= max(established, 1) {
+	if p.closed || len(p.waiters) == 0 {
+		return
+	}
+	now := time.Now()
+	covered := make(map[string]int, len(p.tenants))
+	for _, w := range p.waiters {
+		if p.dialing >= max(p.open-p.dialing, 1) {
 			return
 		}
-		if time.Now().Before(p.redialAt) {
-			return
+		if _, ok := covered[w.tenant]; !ok {
+			covered[w.tenant] = p.tenants[w.tenant].dialing
 		}
-		p.open++
-		p.dialing++
-		go p.dial()
+		if covered[w.tenant] > 0 {
+			covered[w.tenant]--
+			continue
+		}
+		limit := p.limit
+		if w.tenant == "" {
+			limit += extra
+		}
+		p.tryDial(w.tenant, limit, now)
+	}
+}
+
+// tryDial opens a connection for a tenant, if there is a place for one within the limit or
+// if idle connections of other tenants can be closed for it. While it backs off from a full
+// target, it only opens one in the place of another. p.mu must be held.
+func (p *Pool) tryDial(tenant string, limit int, now time.Time) {
+	if now.Before(p.tenantRedialAt[tenant]) {
+		return
+	}
+	if p.open < limit && !now.Before(p.redialAt) {
+		p.startDial(tenant, false)
+		return
+	}
+	if len(p.idle) == 0 || now.Before(p.replaceAt) {
+		return
+	}
+	for range min(max(p.open-limit, 0)+1, len(p.idle)) {
+		p.evict(p.victim())
+	}
+	p.startDial(tenant, true)
+}
+
+// victim returns the index of the idle connection to close for another tenant: the one that
+// has been idle longest of those whose tenant has another idle connection, or else of all.
+// p.mu must be held.
+func (p *Pool) victim() int {
+	idle := make(map[string]int, len(p.idle))
+	for _, c := range p.idle {
+		idle[c.tenant]++
 	}
+	at := slices.IndexFunc(p.idle, func(c *PooledConn) bool { return idle[c.tenant] > 1 })
+	return max(at, 0)
+}
+
+// evict closes an idle connection for a request of another tenant. p.mu must be held.
+func (p *Pool) evict(at int) {
+	p.closeConn(p.removeIdle(at))
+	p.target.counters.evictions.Inc()
 }
 
-// dial opens a connection and delivers it.
-func (p *Pool) dial() {
+// startDial starts to open a connection for a tenant. replacing is set if another
+// connection was closed for it. p.mu must be held.
+func (p *Pool) startDial(tenant string, replacing bool) {
+	p.countTenant(tenant, 1, 1)
+	go p.dial(tenant, replacing)
+}
+
+// dial opens a connection for a tenant and delivers it.
+func (p *Pool) dial(tenant string, replacing bool) {
 	info := p.target.Info()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.target.counters.dials.Inc()
-	conn, err := p.dialer.Dial(ctx, info.Address, info.Group, "", info.ID)
+	conn, err := p.dialer.Dial(ctx, info.Address, info.Group, tenant, info.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dialing--
-	if err == nil && p.closed {
-		p.open--
-		closeQuietly(conn)
+	if err != nil {
+		p.countTenant(tenant, -1, -1)
+		p.dialFailed(tenant, replacing, err)
 		return
 	}
-	if err == nil {
-		p.target.markAnswering()
-		p.deliver(&PooledConn{Conn: conn, target: p.target, values: map[string]string{}, prepared: map[string]struct{}{}})
-		p.dialIfNeeded(0)
+	p.countTenant(tenant, 0, -1)
+	c := &PooledConn{Conn: conn, target: p.target, tenant: tenant, values: map[string]string{}, prepared: map[string]struct{}{}}
+	if p.closed {
+		p.closeConn(c)
 		return
 	}
-	p.open--
-	p.dialFailed(err)
+	p.target.markAnswering()
+	p.deliver(c, foundDialed)
+	p.dialIfNeeded(0)
 }
 
-// dialFailed handles a failed dial. If the target has no room, dialing is retried after
-// a backoff. If the target is unreachable, all waiting requests fail, unless other
-// connections are still open. p.mu must be held.
-func (p *Pool) dialFailed(err error) {
+// dialFailed handles a failed dial for a tenant. If the target has no room, dialing is
+// retried after a backoff. If the target is unreachable, the waiting requests fail for which
+// no connection is open that they could use. p.mu must be held.
+func (p *Pool) dialFailed(tenant string, replacing bool, err error) {
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Code == query.TooManyConnections {
-		p.target.counters.full.Inc()
-		p.target.markAnswering()
-		backoff := fullBackoff
-		if p.open == 0 {
-			backoff = firstBackoff
-		}
-		now := time.Now()
-		p.fullUntil, p.redialAt = now.Add(fullBackoff), now.Add(backoff)
-		p.updateTransactionRoom()
-		time.AfterFunc(backoff, p.retryDial)
+		p.targetFull(replacing)
+		p.dialIfNeeded(0)
 		return
 	}
 	p.target.connectFailed(err)
-	if p.open > p.dialing {
+	if p.open <= p.dialing {
+		p.failWaiters(func(*waiter) bool { return true })
 		return
 	}
-	for _, w := range p.waiters {
-		w.result <- nil
+	if established := p.tenants[tenant]; established.open <= established.dialing {
+		p.failWaiters(func(w *waiter) bool {
+			if w.control || w.tenant != tenant {
+				return false
+			}
+			w.failures++
+			return refused != nil || w.failures >= maxTenantDialFailures
+		})
+	}
+	if p.tenanted {
+		p.tenantRedialAt[tenant] = time.Now().Add(firstBackoff)
+		time.AfterFunc(firstBackoff, func() { p.retryTenant(tenant) })
+		p.dialIfNeeded(0)
+	}
+}
+
+// targetFull starts the backoff after the target had no room for a connection. A refusal of
+// a connection that should replace another prolongs the backoff for additional ones, so that
+// both together are refused no more often. p.mu must be held.
+func (p *Pool) targetFull(replacing bool) {
+	p.target.counters.full.Inc()
+	p.target.markAnswering()
+	backoff := fullBackoff
+	if p.open == 0 {
+		backoff = firstBackoff
 	}
-	p.waiters = nil
+	now := time.Now()
+	p.fullUntil = now.Add(fullBackoff)
+	if !replacing {
+		p.redialAt = now.Add(backoff)
+	} else {
+		p.replaceAt = now.Add(backoff)
+		if now.Before(p.redialAt) {
+			p.redialAt = now.Add(min(p.redialAt.Sub(now), backoff) + backoff)
+		} else {
+			p.redialAt = now.Add(backoff)
+		}
+		time.AfterFunc(backoff, p.retryDial)
+	}
+	p.updateTransactionRoom()
+	time.AfterFunc(p.redialAt.Sub(now), p.retryDial)
+}
+
+// failWaiters fails the waiting requests that a condition holds for, because the target is
+// unreachable. p.mu must be held.
+func (p *Pool) failWaiters(condition func(*waiter) bool) {
+	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
+		fail := condition(w)
+		if fail {
+			w.result <- nil
+		}
+		return fail
+	})
 }
 
 // retryDial opens connections for the requests that still wait after a backoff.
@@ -316,17 +499,60 @@
 	p.dialIfNeeded(0)
 }
 
-// deliver hands a connection to the first waiter, or adds it to the idle ones. p.mu must
-// be held.
-func (p *Pool) deliver(c *PooledConn) {
-	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = slices.Delete(p.waiters, 0, 1)
+// retryTenant ends the backoff of a tenant and opens connections for the requests that
+// still wait.
+func (p *Pool) retryTenant(tenant string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !time.Now().Before(p.tenantRedialAt[tenant]) {
+		delete(p.tenantRedialAt, tenant)
+	}
+	p.dialIfNeeded(0)
+}
+
+// deliver hands a connection to the first waiter that can use it, or adds it to the idle
+// ones, and reports whether a waiter got it. p.mu must be held.
+func (p *Pool) deliver(c *PooledConn, found string) bool {
+	if at := slices.IndexFunc(p.waiters, func(w *waiter) bool { return w.canUse(c.tenant) }); at >= 0 {
+		w := p.waiters[at]
+		p.waiters = slices.Delete(p.waiters, at, at+1)
+		p.countFound(w, found)
 		w.result <- c
-		return
+		return true
 	}
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
+	return false
+}
+
+// yield closes a released connection and opens one for another tenant in its place, if a
+// request of that tenant goes before those that could use the connection, and reports
+// whether it did. Without this, a tenant whose requests always wait would keep all
+// connections. p.mu must be held.
+func (p *Pool) yield(c *PooledConn) bool {
+	own := slices.IndexFunc(p.waiters, func(w *waiter) bool { return w.canUse(c.tenant) })
+	now := time.Now()
+	if own < 0 || p.dialing >= max(p.open-1-p.dialing, 1) || now.Before(p.replaceAt) {
+		return false
+	}
+	covered := make(map[string]int, len(p.tenants))
+	for _, w := range p.waiters {
+		if w.canUse(c.tenant) {
+			continue
+		}
+		covered[w.tenant]++
+		if covered[w.tenant] <= p.tenants[w.tenant].dialing || now.Before(p.tenantRedialAt[w.tenant]) {
+			continue
+		}
+		if first := p.waiters[own]; w.priority > first.priority || first.since.Before(w.since.Add(sameTenantHeadStart)) {
+			return false
+		}
+		p.closeConn(c)
+		p.target.counters.yields.Inc()
+		p.startDial(w.tenant, true)
+		return true
+	}
+	return false
 }
 
 // Release returns a connection to the pool. It must have no open transaction and no
@@ -336,11 +562,13 @@
 	defer p.mu.Unlock()
 	p.unpin(c)
 	if p.closed {
-		p.open--
-		closeQuietly(c.Conn)
+		p.closeConn(c)
+		return
+	}
+	if p.yield(c) || p.deliver(c, foundReleased) {
 		return
 	}
-	p.deliver(c)
+	p.dialIfNeeded(0)
 }
 
 // Discard closes a connection that cannot be used again.
@@ -349,7 +577,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unpin(c)
-	p.open--
+	p.countTenant(c.tenant, -1, 0)
 	p.dialIfNeeded(0)
 }
 
@@ -364,9 +592,7 @@
 		keep = p.base
 	}
 	for len(p.idle) > 0 && p.open > keep && now.Sub(p.idle[0].idleSince) > surplusIdleTimeout {
-		closeQuietly(p.idle[0].Conn)
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.open--
+		p.closeConn(p.removeIdle(0))
 	}
 }
 
@@ -377,14 +603,10 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		closeQuietly(c.Conn)
-		p.open--
+		p.closeConn(c)
 	}
 	p.idle = nil
-	for _, w := range p.waiters {
-		w.result <- nil
-	}
-	p.waiters = nil
+	p.failWaiters(func(*waiter) bool { return true })
 }
 
 // Full reports whether the target had no room for another connection within the last
@@ -403,6 +625,20 @@
 	return p.open == p.dialing && time.Now().Before(p.fullUntil)
 }
 
+// Ways in which a request got its connection.
+const (
+	foundIdle     = "idle"
+	foundReleased = "released"
+	foundDialed   = "dialed"
+)
+
+// countFound counts a request of a caller that got a connection.
+func (p *Pool) countFound(w *waiter, found string) {
+	if !w.control {
+		p.target.counters.found[found].Inc()
+	}
+}
+
 // closeQuietly closes a connection and ignores the error.
 func closeQuietly(c Conn) {
 	// The connection is discarded, so an error has no consequences.
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -52,23 +52,41 @@
 	unansweredSince   time.Duration     // guarded by mu; time since boot of the oldest send without any answer since
 }
 
-// targetCounters are the metrics of dials to the targets of a failure domain.
+// targetCounters are the metrics of connections to the targets of a failure domain.
 type targetCounters struct {
 	dials, full *metrics.Counter
+	// found counts requests by the way in which they got a connection.
+	found map[string]*metrics.Counter
+	// evictions counts idle connections that were closed for a request of another tenant,
+	// and yields those that were closed on release although requests of their own tenant
+	// waited.
+	evictions, yields *metrics.Counter
+}
+
+// newTargetCounters returns the metrics of connections to the targets of a failure domain.
+func newTargetCounters(domain string) targetCounters {
+	c := targetCounters{
+		dials:     metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_dials_total{domain=%q}`, domain)),
+		full:      metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_full_total{domain=%q}`, domain)),
+		found:     make(map[string]*metrics.Counter),
+		evictions: metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_evictions_total{domain=%q,reason="idle"}`, domain)),
+		yields:    metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_evictions_total{domain=%q,reason="fairness"}`, domain)),
+	}
+	for _, found := range []string{foundIdle, foundReleased, foundDialed} {
+		c.found[found] = metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_acquired_total{domain=%q,found=%q}`, domain, found))
+	}
+	return c
 }
 
 // NewTarget returns a target without connections.
 func NewTarget(info catalog.Target, dialer Dialer) *Target {
-	t := &Target{counters: targetCounters{
-		dials: metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_dials_total{domain=%q}`, info.FailureDomain)),
-		full:  metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_full_total{domain=%q}`, info.FailureDomain)),
-	}}
+	t := &Target{counters: newTargetCounters(info.FailureDomain)}
 	t.info.Store(&info)
 	if info.Draining {
 		t.drainingSince.Store(drainStartUnknown)
 	}
 	t.Gate = newGate(info.Slots)
-	t.Pool = &Pool{target: t, dialer: dialer}
+	t.Pool = newPool(t, dialer)
 	t.Pool.SetLimits(1, minConnectionLimit)
 	return t
 }
