Decide by demand which connection is closed for another tenant

The connection used longest ago is the one that tenants in rotation need next, and with a few large tenants it is often one of theirs. The new pure package conncache decides whether to open a connection, to close an idle one for it or to wait: it closes a tenant's second idle connection first, then that of the tenant with the least decaying demand, the last used one among similar tenants. It also decides when a tenant over its share yields a released connection.

The pool counts requests by how they got a connection, and connections that it closed by reason.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -61,6 +61,8 @@
 	session uint64
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
+	// usedAt is idleSince as time since boot.
+	usedAt time.Duration
 	// pinned reports whether a transaction holds the connection until it ends. It is
 	// guarded by the mutex of the pool.
 	pinned bool
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -7,6 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/conncache"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
 
@@ -25,10 +29,11 @@
 	firstBackoff = 50 * time.Millisecond
 	// aliveCheckIdle is the idle time after which a connection is checked before use.
 	aliveCheckIdle = 20 * time.Millisecond
-	// sameTenantHeadStart is how much later a request of the tenant of a released
-	// connection may have arrived than that of another tenant and still be served first.
-	// It is about the time that a new connection for the other tenant takes.
-	sameTenantHeadStart = 30 * time.Millisecond
+	// initialOpenTime is the assumed time of a dial until one has been measured: a round
+	// trip and the time for which the target needs a slot.
+	initialOpenTime = 15 * time.Millisecond
+	// openTimeWeight is the weight of a new measurement of the time of a dial.
+	openTimeWeight = 0.2
 	// maxTenantDialFailures is the number of failed dials after which the requests of a
 	// tenant without a connection fail although other tenants have connections.
 	maxTenantDialFailures = 2
@@ -74,8 +79,9 @@
 
 // tenantConns counts the connections of one tenant in a pool.
 type tenantConns struct {
-	// open includes those that are being dialed, which dialing counts.
-	open, dialing int
+	// open includes those that are being dialed, which dialing counts, and those that
+	// transactions hold, which pinned counts.
+	open, dialing, pinned int
 }
 
 // Pool holds the connections of one daemon to one target. A connection belongs to the
@@ -95,6 +101,8 @@
 	open      int                    // guarded by mu; number of idle, lent and dialing connections
 	dialing   int                    // guarded by mu
 	pinned    int                    // guarded by mu; number of connections held by transactions
+	demand    conncache.Demand       // guarded by mu; of requests with tenants
+	openTime  time.Duration          // guarded by mu; moving average of the time of a dial
 	seq       uint64                 // guarded by mu; seq of the last waiter
 	base      int                    // guarded by mu; number of connections to keep open when idle
 	limit     int                    // guarded by mu; maximum of open
@@ -109,7 +117,7 @@
 
 // newPool returns a pool without connections.
 func newPool(t *Target, dialer Dialer) *Pool {
-	return &Pool{target: t, dialer: dialer, tenants: make(map[string]tenantConns), tenantRedialAt: make(map[string]time.Time)}
+	return &Pool{target: t, dialer: dialer, openTime: initialOpenTime, tenants: make(map[string]tenantConns), tenantRedialAt: make(map[string]time.Time)}
 }
 
 // SetLimits sets how many connections are kept open when idle and how many may be open.
@@ -147,7 +155,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.pinned = true
-	p.pinned++
+	p.countTenant(c.tenant, tenantConns{pinned: 1})
 	p.updateGate()
 }
 
@@ -155,7 +163,7 @@
 func (p *Pool) unpin(c *PooledConn) {
 	if c.pinned {
 		c.pinned = false
-		p.pinned--
+		p.countTenant(c.tenant, tenantConns{pinned: -1})
 		p.updateGate()
 		p.transactions.release()
 	}
@@ -197,6 +205,10 @@
 		return nil, Closed
 	}
 	now := time.Now()
+	p.tenanted = p.tenanted || w.tenant != ""
+	if p.tenanted && !w.control {
+		p.demand.Record(w.tenant, boottime.Now())
+	}
 	if c := p.takeIdle(w, session, now); c != nil {
 		p.mu.Unlock()
 		p.countFound(w, foundIdle)
@@ -210,7 +222,6 @@
 	p.seq++
 	w.seq, w.since, w.result = p.seq, now, make(chan *PooledConn, 1)
 	p.enqueue(w)
-	p.tenanted = p.tenanted || w.tenant != ""
 	p.dialIfNeeded(extra)
 	p.mu.Unlock()
 
@@ -237,21 +248,20 @@
 }
 
 // takeIdle removes an idle connection that a request can use and that is still open, and
-// returns it: preferably the one that the session used last, and for a control statement
-// one without a tenant. It returns nil if there is none. p.mu must be held.
+// returns it, preferably the one that the session used last. It returns nil if there is
+// none. p.mu must be held.
 func (p *Pool) takeIdle(w *waiter, session uint64, now time.Time) *PooledConn {
 	for {
-		at, best := -1, -1
+		at := -1
 		for i, c := range p.idle {
-			preference := 0
-			if c.session == session {
-				preference++
+			if c.tenant == w.tenant && (at < 0 || c.session == session || p.idle[at].session != session) {
+				at = i
 			}
-			if c.tenant == w.tenant {
-				preference += 2
-			}
-			if w.canUse(c.tenant) && preference >= best {
-				at, best = i, preference
+		}
+		if at < 0 && w.control {
+			// The connection to be closed next is the one that is missed least meanwhile.
+			if i, ok := conncache.Victim(p.view(), w.tenant); ok {
+				at = i
 			}
 		}
 		if at < 0 {
@@ -267,6 +277,33 @@
 	}
 }
 
+// view returns the state of the connections for a decision. The idle ones come first, with
+// the same indices as in p.idle. p.mu must be held.
+func (p *Pool) view() conncache.View {
+	now := boottime.Now()
+	v := conncache.View{
+		Now: now, Limit: p.limit, Full: time.Now().Before(p.redialAt), OpenTime: p.openTime, Demand: &p.demand,
+		Connections: make([]conncache.Connection, 0, p.open), Waiting: make([]string, 0, len(p.waiters)),
+	}
+	idle := make(map[string]int, len(p.tenants))
+	for _, c := range p.idle {
+		idle[c.tenant]++
+		v.Connections = append(v.Connections, conncache.Connection{Tenant: c.tenant, State: conncache.Idle, UsedAt: c.usedAt})
+	}
+	for tenant, n := range p.tenants {
+		inUse := n.open - n.dialing - n.pinned - idle[tenant]
+		for state, count := range map[conncache.State]int{conncache.Opening: n.dialing, conncache.Held: n.pinned, conncache.InUse: inUse} {
+			for range count {
+				v.Connections = append(v.Connections, conncache.Connection{Tenant: tenant, State: state, UsedAt: now})
+			}
+		}
+	}
+	for _, w := range p.waiters {
+		v.Waiting = append(v.Waiting, w.tenant)
+	}
+	return v
+}
+
 // removeIdle removes the idle connection at an index and returns it. p.mu must be held.
 func (p *Pool) removeIdle(at int) *PooledConn {
 	c := p.idle[at]
@@ -276,12 +313,12 @@
 
 // countTenant adds to the numbers of connections of a tenant and of the pool. p.mu must be
 // held.
-func (p *Pool) countTenant(tenant string, open, dialing int) {
-	p.open += open
-	p.dialing += dialing
+func (p *Pool) countTenant(tenant string, n tenantConns) {
+	p.open += n.open
+	p.dialing += n.dialing
+	p.pinned += n.pinned
 	t := p.tenants[tenant]
-	t.open += open
-	t.dialing += dialing
+	t = tenantConns{open: t.open + n.open, dialing: t.dialing + n.dialing, pinned: t.pinned + n.pinned}
 	if t == (tenantConns{}) {
 		delete(p.tenants, tenant)
 		return
@@ -293,7 +330,7 @@
 // be held.
 func (p *Pool) closeConn(c *PooledConn) {
 	closeQuietly(c.Conn)
-	p.countTenant(c.tenant, -1, 0)
+	p.countTenant(c.tenant, tenantConns{open: -1})
 }
 
 // enqueue inserts a waiter by priority and arrival. p.mu must be held.
@@ -331,68 +368,75 @@
 		return
 	}
 	now := time.Now()
-	covered := make(map[string]int, len(p.tenants))
-	for _, w := range p.waiters {
+	for _, tenant := range p.undialed() {
 		if p.dialing >= max(p.open-p.dialing, 1) {
 			return
 		}
-		if _, ok := covered[w.tenant]; !ok {
-			covered[w.tenant] = p.tenants[w.tenant].dialing
+		limit := p.limit
+		if tenant == "" {
+			limit += extra
 		}
-		if covered[w.tenant] > 0 {
-			covered[w.tenant]--
+		p.tryDial(tenant, limit, now)
+	}
+}
+
+// undialed returns the tenants of the waiting requests for which no dial is running, in the
+// order in which to dial. Tenants over their share come last. p.mu must be held.
+func (p *Pool) undialed() []string {
+	dialing := make(map[string]int, len(p.tenants))
+	for tenant, n := range p.tenants {
+		dialing[tenant] = n.dialing
+	}
+	out := make([]string, 0, len(p.waiters))
+	for _, w := range p.waiters {
+		if dialing[w.tenant] > 0 {
+			dialing[w.tenant]--
 			continue
 		}
-		limit := p.limit
-		if w.tenant == "" {
-			limit += extra
+		out = append(out, w.tenant)
+	}
+	if len(out) < 2 || !p.tenanted {
+		return out
+	}
+	v := p.view()
+	rank := func(tenant string) int {
+		if conncache.OverShare(v, tenant) {
+			return 1
 		}
-		p.tryDial(w.tenant, limit, now)
+		return 0
 	}
+	slices.SortStableFunc(out, func(a, b string) int { return rank(a) - rank(b) })
+	return out
 }
 
 // tryDial opens a connection for a tenant, if there is a place for one within the limit or
-// if idle connections of other tenants can be closed for it. While it backs off from a full
-// target, it only opens one in the place of another. p.mu must be held.
+// if an idle connection of another tenant can be closed for it. While it backs off from a
+// full target, it only opens one in the place of another. p.mu must be held.
 func (p *Pool) tryDial(tenant string, limit int, now time.Time) {
 	if now.Before(p.tenantRedialAt[tenant]) {
 		return
 	}
-	if p.open < limit && !now.Before(p.redialAt) {
+	v := p.view()
+	v.Limit = limit
+	switch d := conncache.Decide(v, tenant); {
+	case d.Action == conncache.Open:
 		p.startDial(tenant, false)
-		return
-	}
-	if len(p.idle) == 0 || now.Before(p.replaceAt) {
-		return
-	}
-	for range min(max(p.open-limit, 0)+1, len(p.idle)) {
-		p.evict(p.victim())
-	}
-	p.startDial(tenant, true)
-}
-
-// victim returns the index of the idle connection to close for another tenant: the one that
-// has been idle longest of those whose tenant has another idle connection, or else of all.
-// p.mu must be held.
-func (p *Pool) victim() int {
-	idle := make(map[string]int, len(p.idle))
-	for _, c := range p.idle {
-		idle[c.tenant]++
+	case d.Action == conncache.Evict && !now.Before(p.replaceAt):
+		p.evict(d.Victim, p.target.counters.evicted)
+		p.startDial(tenant, true)
 	}
-	at := slices.IndexFunc(p.idle, func(c *PooledConn) bool { return idle[c.tenant] > 1 })
-	return max(at, 0)
 }
 
-// evict closes an idle connection for a request of another tenant. p.mu must be held.
-func (p *Pool) evict(at int) {
+// evict closes an idle connection and counts it. p.mu must be held.
+func (p *Pool) evict(at int, reason *metrics.Counter) {
 	p.closeConn(p.removeIdle(at))
-	p.target.counters.evictions.Inc()
+	reason.Inc()
 }
 
 // startDial starts to open a connection for a tenant. replacing is set if another
 // connection was closed for it. p.mu must be held.
 func (p *Pool) startDial(tenant string, replacing bool) {
-	p.countTenant(tenant, 1, 1)
+	p.countTenant(tenant, tenantConns{open: 1, dialing: 1})
 	go p.dial(tenant, replacing)
 }
 
@@ -402,21 +446,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.target.counters.dials.Inc()
+	began := time.Now()
 	conn, err := p.dialer.Dial(ctx, info.Address, info.Group, tenant, info.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.countTenant(tenant, -1, -1)
+		p.countTenant(tenant, tenantConns{open: -1, dialing: -1})
 		p.dialFailed(tenant, replacing, err)
 		return
 	}
-	p.countTenant(tenant, 0, -1)
+	p.countTenant(tenant, tenantConns{dialing: -1})
 	c := &PooledConn{Conn: conn, target: p.target, tenant: tenant, values: map[string]string{}, prepared: map[string]struct{}{}}
 	if p.closed {
 		p.closeConn(c)
 		return
 	}
 	p.target.markAnswering()
+	p.openTime += time.Duration(openTimeWeight * float64(time.Since(began)-p.openTime))
 	p.deliver(c, foundDialed)
 	p.dialIfNeeded(0)
 }
@@ -520,39 +566,48 @@
 		w.result <- c
 		return true
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.usedAt = time.Now(), boottime.Now()
 	p.idle = append(p.idle, c)
 	return false
 }
 
 // yield closes a released connection and opens one for another tenant in its place, if a
 // request of that tenant goes before those that could use the connection, and reports
-// whether it did. Without this, a tenant whose requests always wait would keep all
-// connections. p.mu must be held.
+// whether it did. p.mu must be held.
 func (p *Pool) yield(c *PooledConn) bool {
 	own := slices.IndexFunc(p.waiters, func(w *waiter) bool { return w.canUse(c.tenant) })
 	now := time.Now()
-	if own < 0 || p.dialing >= max(p.open-1-p.dialing, 1) || now.Before(p.replaceAt) {
+	if own < 0 || !p.tenanted || p.dialing >= max(p.open-1-p.dialing, 1) || now.Before(p.replaceAt) {
 		return false
 	}
-	covered := make(map[string]int, len(p.tenants))
+	other := p.firstUndialed(c.tenant, now)
+	if other == nil || other.priority > p.waiters[own].priority {
+		return false
+	}
+	if !conncache.Yields(p.view(), c.tenant, other.tenant, now.Sub(p.waiters[own].since), now.Sub(other.since)) {
+		return false
+	}
+	p.closeConn(c)
+	p.target.counters.yielded.Inc()
+	p.startDial(other.tenant, true)
+	return true
+}
+
+// firstUndialed returns the first waiting request that can't use a connection of the given
+// tenant, for which no dial is running, and whose own tenant does not back off from a failed
+// dial; nil if there is none. p.mu must be held.
+func (p *Pool) firstUndialed(tenant string, now time.Time) *waiter {
+	waiting := make(map[string]int)
 	for _, w := range p.waiters {
-		if w.canUse(c.tenant) {
-			continue
-		}
-		covered[w.tenant]++
-		if covered[w.tenant] <= p.tenants[w.tenant].dialing || now.Before(p.tenantRedialAt[w.tenant]) {
+		if w.canUse(tenant) {
 			continue
 		}
-		if first := p.waiters[own]; w.priority > first.priority || first.since.Before(w.since.Add(sameTenantHeadStart)) {
-			return false
+		waiting[w.tenant]++
+		if waiting[w.tenant] > p.tenants[w.tenant].dialing && !now.Before(p.tenantRedialAt[w.tenant]) {
+			return w
 		}
-		p.closeConn(c)
-		p.target.counters.yields.Inc()
-		p.startDial(w.tenant, true)
-		return true
 	}
-	return false
+	return nil
 }
 
 // Release returns a connection to the pool. It must have no open transaction and no
@@ -577,7 +632,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unpin(c)
-	p.countTenant(c.tenant, -1, 0)
+	p.countTenant(c.tenant, tenantConns{open: -1})
 	p.dialIfNeeded(0)
 }
 
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -57,20 +57,22 @@
 	dials, full *metrics.Counter
 	// found counts requests by the way in which they got a connection.
 	found map[string]*metrics.Counter
-	// evictions counts idle connections that were closed for a request of another tenant,
-	// and yields those that were closed on release although requests of their own tenant
-	// waited.
-	evictions, yields *metrics.Counter
+	// evicted counts idle connections that were closed for a request of another tenant,
+	// yielded those that were closed for one on release although requests of their own
+	// tenant waited, and trimmed those that nobody needed.
+	evicted, yielded, trimmed *metrics.Counter
 }
 
 // newTargetCounters returns the metrics of connections to the targets of a failure domain.
 func newTargetCounters(domain string) targetCounters {
+	closed := func(reason string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_connections_closed_total{domain=%q,reason=%q}`, domain, reason))
+	}
 	c := targetCounters{
-		dials:     metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_dials_total{domain=%q}`, domain)),
-		full:      metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_full_total{domain=%q}`, domain)),
-		found:     make(map[string]*metrics.Counter),
-		evictions: metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_evictions_total{domain=%q,reason="idle"}`, domain)),
-		yields:    metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_evictions_total{domain=%q,reason="fairness"}`, domain)),
+		dials:   metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_dials_total{domain=%q}`, domain)),
+		full:    metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_full_total{domain=%q}`, domain)),
+		found:   make(map[string]*metrics.Counter),
+		evicted: closed("evicted"), yielded: closed("yielded"), trimmed: closed("trimmed"),
 	}
 	for _, found := range []string{foundIdle, foundReleased, foundDialed} {
 		c.found[found] = metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_target_acquired_total{domain=%q,found=%q}`, domain, found))
