Enforce the rate limits of tenants at quota owners in each failure domain

Without it a limit holds only per daemon. A gateway asks the quota owner of the tenant in its failure domain for each operation; operations that wait for the same answer share a message. A silent or ended owner is replaced by its successor, which sends requests on as long as it reaches the owner. An owner acts only while it has contact with its failure domain. The peer protocol gets optional frames; daemons without them are recognized by their hello and not asked.

The front end does not call the limiter yet; node wires the rest.

--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -13,6 +13,9 @@
 	HomeCandidates = 2
 	// RelayCount is the number of relays of a failure domain.
 	RelayCount = 2
+	// QuotaCandidates is the number of VMs of a failure domain that are tried as quota owner
+	// of a tenant: the owner and two successors.
+	QuotaCandidates = 3
 )
 
 // relayKey is hashed with the names of VMs to choose the relays. Keys of databases
@@ -36,6 +39,19 @@
 	return v.topRanked(failureDomain, relayKey, RelayCount)
 }
 
+// quotaKey returns the key by which the quota owners of a tenant are ranked. It ends with a
+// colon. The keys of groups end with a dot, because their database is empty, and the key of
+// relays with a letter, so that no names make them equal.
+func quotaKey(tenant string) string {
+	return "quota." + tenant + ":"
+}
+
+// QuotaOwners returns the VMs to try as quota owner of a tenant in a failure domain, best
+// first.
+func (v *View) QuotaOwners(failureDomain, tenant string) []VM {
+	return v.topRanked(failureDomain, quotaKey(tenant), QuotaCandidates)
+}
+
 // IsRelay reports whether this VM is a relay of its failure domain.
 func (v *View) IsRelay() bool {
 	for _, vm := range v.Relays(v.Self.FailureDomain) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/google/uuid"
 
 	"github.com/laburnumrack/laburnumrack/internal/backend"
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/buildinfo"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/ctxtime"
@@ -32,6 +33,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/membership"
 	"github.com/laburnumrack/laburnumrack/internal/peer"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
+	"github.com/laburnumrack/laburnumrack/internal/ratelimit"
 	"github.com/laburnumrack/laburnumrack/platform"
 )
 
@@ -81,6 +83,7 @@
 	local         *executor.Executor
 	mirrors       mirrors
 	peerServer    *peer.Server
+	limiter       *ratelimit.Limiter
 	promotionLock *failover.LockManager
 	store         *platform.Store
 	log           *eventlog.Log
@@ -138,7 +141,10 @@
 	n.mirrors = mirrors{
 		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
 	}
-	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerConnected}
+	n.limiter = ratelimit.New(ratelimit.Options{
+		Self: settings.Name, Domain: settings.FailureDomain, Regions: settings.Regions, Slack: settings.QuotaSlack, Network: n.members, Now: boottime.Now, Log: n.log,
+	})
+	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
@@ -195,6 +201,7 @@
 	n.loops.Go(func() { n.members.Introduce(n.ctx, n.peerServer.ConnectedPeers) })
 	n.loops.Go(func() { n.members.KeepRegistered(n.ctx, n.store) })
 	n.loops.Go(func() { n.members.PruneRegistrations(n.ctx, n.store) })
+	n.loops.Go(func() { n.limiter.Run(n.ctx) })
 	n.loops.Go(func() { n.peerServer.Serve(n.peerListener) })
 	n.loops.Go(n.reloadOnSignal)
 	n.probeServer = &http.Server{Handler: platform.ReadyHandler(n.Ready), ReadHeaderTimeout: time.Second}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -62,6 +62,8 @@
 	frames    *frameConn
 	lastHeard atomic.Int64 // since boot
 	lastID    atomic.Uint64
+	// answersQuota is whether the peer answers requests with Quota.
+	answersQuota bool
 
 	mu    sync.Mutex
 	calls map[uint64]chan response // guarded by mu
@@ -100,29 +102,31 @@
 		return nil, fmt.Errorf("connect to peer %s: %w", c.name, err)
 	}
 	w := newFrameConn(tcp)
-	if err := c.handshake(w); err != nil {
+	h, err := c.handshake(w)
+	if err != nil {
 		return nil, errors.Join(fmt.Errorf("handshake with peer %s: %w", c.name, err), tcp.Close())
 	}
-	conn := &clientConn{client: c, frames: w, calls: make(map[uint64]chan response), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	conn := &clientConn{client: c, frames: w, calls: make(map[uint64]chan response), wake: make(chan struct{}, 1), done: make(chan struct{}), answersQuota: h.Quota}
 	conn.lastHeard.Store(int64(boottime.Now()))
 	return conn, nil
 }
 
-func (c *Client) handshake(w *frameConn) error {
+// handshake exchanges hellos and returns that of the peer.
+func (c *Client) handshake(w *frameConn) (hello, error) {
+	var h hello
 	if err := w.conn.SetReadDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return err
+		return h, err
 	}
 	if err := w.write(hello{Version: Version, Name: c.self.Name, Address: c.self.Address, To: c.name}); err != nil {
-		return err
+		return h, err
 	}
-	var h hello
 	if err := w.read(&h); err != nil {
-		return err
+		return h, err
 	}
 	if h.Version != Version || h.Name != c.name {
-		return fmt.Errorf("unexpected daemon %q with protocol version %d", h.Name, h.Version)
+		return h, fmt.Errorf("unexpected daemon %q with protocol version %d", h.Name, h.Version)
 	}
-	return w.conn.SetReadDeadline(time.Time{})
+	return h, w.conn.SetReadDeadline(time.Time{})
 }
 
 // Connect makes sure that there is a connection to the peer, by which the peer learns of
@@ -155,7 +159,7 @@
 		if r.Leaving {
 			c.client.observer.PeerLeaving(c.client.name)
 		}
-		if r.Reply == nil && r.Watched == nil && r.Intents == nil && r.Position == nil {
+		if r.Reply == nil && r.Watched == nil && r.Intents == nil && r.Position == nil && r.Quota == nil {
 			continue
 		}
 		c.mu.Lock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -27,6 +27,8 @@
 	To string `cbor:"3,keyasint,omitempty"`
 	// Address is the address at which the sender accepts peers; empty if it is not told.
 	Address string `cbor:"4,keyasint,omitempty"`
+	// Quota is true if the sender answers requests with Quota.
+	Quota bool `cbor:"16,keyasint,omitempty"`
 }
 
 // request is a frame from the client to the server.
@@ -44,6 +46,9 @@
 	Intents bool `cbor:"7,keyasint,omitempty"`
 	// PositionOf names the group for whose primary's log position the request asks.
 	PositionOf string `cbor:"8,keyasint,omitempty"`
+	// Quota asks for operations or tokens of a tenant. It is sent only to a daemon whose
+	// hello has Quota set.
+	Quota *QuotaRequest `cbor:"16,keyasint,omitempty"`
 }
 
 // response is a frame from the server to the client.
@@ -58,6 +63,8 @@
 	Intents *IntentsResponse `cbor:"5,keyasint,omitempty"`
 	// Position answers a request with PositionOf.
 	Position *PositionResponse `cbor:"6,keyasint,omitempty"`
+	// Quota answers a request with Quota.
+	Quota *QuotaResponse `cbor:"16,keyasint,omitempty"`
 }
 
 // Timeouts and buffer size of a connection.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,8 @@
 	Intents IntentSource
 	// Positions answers requests for positions of primaries; it may be nil.
 	Positions PositionSource
+	// Quotas answers requests for operations and tokens of tenants; it may be nil.
+	Quotas QuotaSource
 
 	leaving   atomic.Bool
 	mu        sync.Mutex
@@ -133,7 +135,7 @@
 	if err := c.frames.read(&h); err != nil {
 		return err
 	}
-	if err := c.frames.write(hello{Version: Version, Name: c.server.Name}); err != nil {
+	if err := c.frames.write(hello{Version: Version, Name: c.server.Name, Quota: c.server.Quotas != nil}); err != nil {
 		return err
 	}
 	if h.Version != Version || h.To != c.server.Name {
@@ -177,6 +179,8 @@
 		go c.answerIntents(r.Unit)
 	case r.PositionOf != "":
 		go c.answerPosition(r.Unit, r.PositionOf)
+	case r.Quota != nil:
+		go c.answerQuota(r.Unit, *r.Quota)
 	case r.Close:
 		if u := c.removeUnit(r.Unit); u != nil {
 			go c.closeUnit(u)
--- /dev/null
+++ b/internal/ratelimit/limiter.go
@@ -0,0 +1,439 @@
+// Package ratelimit enforces the rate limits of tenants across all daemons. Each daemon asks
+// the quota owner of a tenant in its failure domain before it runs an operation, and is
+// itself quota owner of some tenants. The decisions are those of package quota.
+package ratelimit
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/laburnumrack/laburnumrack/internal/catalog"
+	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/peer"
+	"github.com/laburnumrack/laburnumrack/internal/quota"
+)
+
+// Reasons of refusals.
+const (
+	// ReasonOverQuota is the reason of a refusal because the tenant is at its limit.
+	ReasonOverQuota = "over_quota"
+	// ReasonUnreachable is the reason of a refusal because no quota owner can be reached.
+	ReasonUnreachable = "quota_unreachable"
+)
+
+// Timing of requests.
+const (
+	// waitLimit is how long operations wait for transfers: a round trip between regions, 60
+	// ms, and the delays of busy VMs.
+	waitLimit = 110 * time.Millisecond
+	// ownerTimeout is how long a gateway waits for the first owner, successorTimeout how
+	// long for a successor, which may first have to find out that the owner is silent.
+	ownerTimeout     = waitLimit + 40*time.Millisecond
+	successorTimeout = 250 * time.Millisecond
+	// forwardTimeout is how long a successor waits for the owner.
+	forwardTimeout = 100 * time.Millisecond
+	// nearTransferTimeout and farTransferTimeout limit a transfer within a region and between
+	// regions.
+	nearTransferTimeout = 100 * time.Millisecond
+	farTransferTimeout  = 250 * time.Millisecond
+	// silenceHold is how long a daemon that did not answer in time is not asked.
+	silenceHold = time.Second
+	// batchInterval is how long operations of a tenant wait for the answer to an earlier
+	// message before they are sent as another one. A round trip within a failure domain takes
+	// less, unless the owner waits for transfers.
+	batchInterval = 5 * time.Millisecond
+	// unreachableRetry and unreachableSpread give the retry-after times of operations that
+	// were refused because no owner can be reached: an owner that was killed is replaced
+	// within that.
+	unreachableRetry  = 100 * time.Millisecond
+	unreachableSpread = 200 * time.Millisecond
+)
+
+// Network gives access to the other daemons. The names of daemons are those of their VMs.
+type Network interface {
+	// Known reports whether the VMs have been listed.
+	Known() bool
+	// QuotaOwners returns the usable VMs of a failure domain to try as quota owner of a
+	// tenant, best first.
+	QuotaOwners(domain, tenant string) []string
+	// UsableInDomain returns the usable VMs of this failure domain, in order.
+	UsableInDomain() []string
+	// Neighbors returns the other VMs of this failure domain, also if they are not usable.
+	Neighbors() []string
+	// CallQuota sends a request to a VM. The error wraps peer.ErrQuotaSilent if it does not
+	// answer in time and syscall.ECONNREFUSED if its process does not run.
+	CallQuota(name string, r peer.QuotaRequest, timeout time.Duration) (peer.QuotaResponse, error)
+}
+
+// Options configure a Limiter.
+type Options struct {
+	// Self and Domain are the names of this daemon and its failure domain.
+	Self, Domain string
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
+	// Slack is the number of operations of a tenant that may run beyond its limit in each
+	// window.
+	Slack   float64
+	Network Network
+	// Now returns the time since boot.
+	Now func() time.Duration
+	Log *eventlog.Log
+}
+
+// Limiter admits the operations of this daemon's callers and acts as quota owner for other
+// daemons. It is safe for concurrent use.
+type Limiter struct {
+	options Options
+	owner   owner
+	contact contact
+	// far names the failure domains of other regions.
+	far map[string]bool
+
+	mu sync.Mutex
+	// queues hold the operations that have not been sent to the owner, by tenant.
+	queues map[string]*queue // guarded by mu
+	// silentUntil maps a daemon to the time until which it counts as silent.
+	silentUntil map[string]time.Duration // guarded by mu
+	// unreachableDomains are the failure domains whose last transfer failed.
+	unreachableDomains map[string]bool // guarded by mu
+}
+
+// queue holds the next batch of a tenant.
+type queue struct {
+	next *batch
+}
+
+// batch is a number of operations of one tenant that are sent as one message.
+type batch struct {
+	limit quota.Limit
+	count int
+	// done is closed when the outcome is set.
+	done    chan struct{}
+	outcome outcome
+}
+
+// outcome is the answer to a batch. Reached is false if no owner was reached.
+type outcome struct {
+	reached  bool
+	decision quota.Decision
+}
+
+// New returns a limiter. Run must be called for it.
+func New(o Options) *Limiter {
+	l := &Limiter{
+		options: o, far: map[string]bool{}, queues: map[string]*queue{}, silentUntil: map[string]time.Duration{}, unreachableDomains: map[string]bool{},
+	}
+	var near, far []string
+	for domain, region := range o.Regions {
+		switch {
+		case domain == o.Domain:
+		case region == o.Regions[o.Domain]:
+			near = append(near, domain)
+		default:
+			far = append(far, domain)
+			l.far[domain] = true
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	others := append(near, far...)
+	l.owner = owner{
+		limiter: l, others: others, share: quota.Share{Domains: len(others) + 1, Slack: o.Slack},
+		accounts: map[string]*heldAccount{}, full: map[string]quota.Limit{},
+	}
+	l.contact.at, l.contact.probing = o.Now(), make(chan struct{}, 1)
+	return l
+}
+
+// Admit asks for one operation of a tenant, whose limit is that of the given version of the
+// configuration. A tenant without a limit is admitted without a message. If ok is false, the
+// operation must not run, and retryAfter is when it may be tried again.
+func (l *Limiter) Admit(tenant catalog.Tenant, version uint64) (retryAfter time.Duration, reason string, ok bool) {
+	if !tenant.Limited() {
+		return 0, "", true
+	}
+	limit := quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst, Version: version}
+	if limit.Rate <= 0 {
+		return refuse(quota.RetryHorizon, ReasonOverQuota)
+	}
+	var result outcome
+	index := 0
+	if l.isFirstOwner(tenant.Name) {
+		result = l.route(tenant.Name, limit, 1, fromGateway)
+	} else {
+		b, i := l.enqueue(tenant.Name, limit)
+		<-b.done
+		result, index = b.outcome, i
+	}
+	switch {
+	case !result.reached:
+		return refuse(unreachableRetry+rand.N(unreachableSpread), ReasonUnreachable)
+	case index < result.decision.Granted:
+		metrics.GetOrCreateCounter(`laburnumrack_quota_admitted_total`).Inc()
+		return 0, "", true
+	default:
+		after := result.decision.RetryAfter + time.Duration(index-result.decision.Granted)*result.decision.RetryStep
+		return refuse(after, ReasonOverQuota)
+	}
+}
+
+func refuse(after time.Duration, reason string) (time.Duration, string, bool) {
+	metrics.GetOrCreateCounter(`laburnumrack_quota_refused_total{reason="` + reason + `"}`).Inc()
+	return after, reason, false
+}
+
+// enqueue adds an operation to the next batch of the tenant and returns the batch and the
+// operation's index in it.
+func (l *Limiter) enqueue(tenant string, limit quota.Limit) (*batch, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q, running := l.queues[tenant]
+	if !running {
+		q = &queue{}
+		l.queues[tenant] = q
+		go l.send(tenant, q)
+	}
+	if q.next == nil {
+		q.next = &batch{done: make(chan struct{})}
+	}
+	b := q.next
+	if b.count == 0 || limit.Version > b.limit.Version {
+		b.limit = limit
+	}
+	b.count++
+	return b, b.count - 1
+}
+
+// send sends the batches of a tenant until there are no more. It sends the next one when the
+// last one is answered, or after batchInterval.
+func (l *Limiter) send(tenant string, q *queue) {
+	timer := time.NewTimer(batchInterval)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		b := q.next
+		q.next = nil
+		if b == nil {
+			delete(l.queues, tenant)
+		}
+		l.mu.Unlock()
+		if b == nil {
+			return
+		}
+		go func() {
+			b.outcome = l.route(tenant, b.limit, b.count, fromGateway)
+			close(b.done)
+		}()
+		timer.Reset(batchInterval)
+		select {
+		case <-b.done:
+		case <-timer.C:
+		}
+	}
+}
+
+// origin is where a request for operations comes from.
+type origin int
+
+const (
+	// fromGateway is a request of a caller of this daemon.
+	fromGateway origin = iota
+	// fromPeer is a request of another gateway, which considers this daemon the first owner
+	// that it can reach.
+	fromPeer
+	// forwarded is a request of another daemon that is not the owner either. It is not sent
+	// on, so that daemons with different views don't send it in a circle.
+	forwarded
+)
+
+// route finds the quota owner of the tenant in this failure domain, beginning with the first
+// one. This daemon acts as owner if it can't reach the daemons ahead of it, or they don't act
+// as owner, and it has contact with its failure domain.
+func (l *Limiter) route(tenant string, limit quota.Limit, count int, from origin) outcome {
+	if !l.options.Network.Known() {
+		return outcome{}
+	}
+	for i, name := range l.options.Network.QuotaOwners(l.options.Domain, tenant) {
+		if name == l.options.Self {
+			if !l.hasContact() {
+				return outcome{}
+			}
+			return outcome{reached: true, decision: l.owner.admit(tenant, limit, count)}
+		}
+		if l.isSilent(name) {
+			continue
+		}
+		if from == forwarded {
+			return outcome{}
+		}
+		r := peer.QuotaRequest{
+			Kind: peer.QuotaAdmit, Tenant: tenant, Rate: limit.Rate, Burst: limit.Burst, Version: limit.Version,
+			Count: uint64(count), Forwarded: from == fromPeer,
+		}
+		timeout := ownerTimeout
+		switch {
+		case from == fromPeer:
+			timeout = forwardTimeout
+		case i > 0:
+			timeout = successorTimeout
+		}
+		answer, err := l.call(name, r, timeout)
+		if err != nil {
+			continue
+		}
+		l.noteContact()
+		if answer.Owner {
+			return outcome{reached: true, decision: decisionOf(answer, count)}
+		}
+	}
+	return outcome{}
+}
+
+func decisionOf(answer peer.QuotaResponse, count int) quota.Decision {
+	granted := int(min(answer.Granted, uint64(count)))
+	return quota.Decision{
+		Granted: granted, Refused: count - granted,
+		RetryAfter: time.Duration(answer.RetryAfter) * time.Microsecond, RetryStep: time.Duration(answer.RetryStep) * time.Microsecond,
+	}
+}
+
+// call sends a request and records whether the daemon is silent.
+func (l *Limiter) call(name string, r peer.QuotaRequest, timeout time.Duration) (peer.QuotaResponse, error) {
+	metrics.GetOrCreateCounter(`laburnumrack_quota_messages_total{kind="` + kindLabel(r.Kind) + `"}`).Inc()
+	answer, err := l.options.Network.CallQuota(name, r, timeout)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	_, wasSilent := l.silentUntil[name]
+	switch {
+	case err == nil:
+		delete(l.silentUntil, name)
+		if wasSilent {
+			l.options.Log.StateChange("quota_peer_answers", "peer", name)
+		}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// The next request may be answered by a process that was just started.
+	default:
+		l.silentUntil[name] = now + silenceHold
+		if !wasSilent {
+			l.options.Log.StateChange("quota_peer_silent", "peer", name, "error", err.Error())
+		}
+	}
+	return answer, err
+}
+
+func kindLabel(k peer.QuotaKind) string {
+	switch k {
+	case peer.QuotaAdmit:
+		return "admit"
+	case peer.QuotaTransfer:
+		return "transfer"
+	case peer.QuotaState:
+		return "state"
+	default:
+		return "probe"
+	}
+}
+
+// isSilent reports whether a daemon did not answer recently.
+func (l *Limiter) isSilent(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.options.Now() < l.silentUntil[name]
+}
+
+// isFirstOwner reports whether this daemon is the first quota owner of a tenant.
+func (l *Limiter) isFirstOwner(tenant string) bool {
+	owners := l.options.Network.QuotaOwners(l.options.Domain, tenant)
+	return l.options.Network.Known() && len(owners) > 0 && owners[0] == l.options.Self
+}
+
+// HandleQuota implements peer.QuotaSource.
+func (l *Limiter) HandleQuota(from string, r peer.QuotaRequest) peer.QuotaResponse {
+	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst, Version: r.Version}
+	switch r.Kind {
+	case peer.QuotaProbe:
+		l.noteContact()
+		return peer.QuotaResponse{Owner: l.options.Network.Known()}
+	case peer.QuotaAdmit:
+		l.noteContact()
+		source := fromPeer
+		if r.Forwarded {
+			source = forwarded
+		}
+		result := l.route(r.Tenant, limit, int(min(r.Count, maxBatch)), source)
+		d := result.decision
+		return peer.QuotaResponse{
+			Owner: result.reached, Granted: uint64(d.Granted), RetryAfter: uint64(d.RetryAfter.Microseconds()), RetryStep: uint64(d.RetryStep.Microseconds()),
+		}
+	case peer.QuotaTransfer:
+		if !l.actsFor(r.Tenant) || !l.hasContact() {
+			return peer.QuotaResponse{}
+		}
+		granted, spare := l.owner.grant(r.Tenant, limit, from, r.ID, float64(r.Count)/tokenUnits)
+		return peer.QuotaResponse{Owner: true, Granted: uint64(granted * tokenUnits), Spare: uint64(spare * tokenUnits)}
+	case peer.QuotaState:
+		return peer.QuotaResponse{Owner: l.actsFor(r.Tenant), State: l.owner.state(r.Tenant)}
+	default:
+		return peer.QuotaResponse{}
+	}
+}
+
+// maxBatch limits the number of operations that one message may ask for.
+const maxBatch = 1 << 16
+
+// tokenUnits is the number of units of the wire protocol per token. Granted amounts are
+// rounded down.
+const tokenUnits = 1000
+
+// actsFor reports whether this daemon acts as quota owner: it is the first one that is
+// usable and not silent.
+func (l *Limiter) actsFor(tenant string) bool {
+	if !l.options.Network.Known() {
+		return false
+	}
+	for _, name := range l.options.Network.QuotaOwners(l.options.Domain, tenant) {
+		if name == l.options.Self {
+			return true
+		}
+		if !l.isSilent(name) {
+			return false
+		}
+	}
+	return false
+}
+
+// Run keeps contact with the failure domain and drops accounts that are not used, until ctx
+// ends.
+func (l *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.keepContact()
+			l.owner.sweep()
+			l.forgetSilent()
+		}
+	}
+}
+
+// forgetSilent forgets daemons whose silence is long past.
+func (l *Limiter) forgetSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, until := range l.silentUntil {
+		if l.options.Now() > until+time.Minute {
+			delete(l.silentUntil, name)
+		}
+	}
+}
