Confirm the configuration, redact it in the feed and ask other failure domains

Relays sent the configuration object with all API keys to their followers; the feed now redacts it before it is kept. A daemon that the store refused, like every relay of its failure domain, never learned of a revocation; it now asks a relay of another failure domain.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -27,9 +27,15 @@
 	// firstStart makes daemons started from now on take part in the first start of the
 	// system.
 	firstStart bool
-	// refusingStore is the address of a store that refuses all calls; daemons started from
+	// refusingStore is the address of a store that may refuse calls; daemons started from
 	// now on use it if it is set.
 	refusingStore string
+	// tenants maps the tenants of later configurations to their keys; nil means a deployment
+	// without tenants.
+	tenants map[string][]string
+	// strictRevocation, if not zero, is the time of strict revocation at daemons started
+	// from now on.
+	strictRevocation time.Duration
 	// metricsListen is the metrics address of daemons started from now on; empty for
 	// none.
 	metricsListen string
@@ -97,11 +103,15 @@
 		})
 	}
 	tc.version++
-	tc.store.Put("config", "main", map[string]any{
+	configuration := map[string]any{
 		"version": tc.version, "routes": routes,
 		"services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
 		"limits":   map[string]any{"tx_idle_ms": 3000},
-	})
+	}
+	if tc.tenants != nil {
+		site.AddTenants(configuration, tc.tenants)
+	}
+	tc.store.Put("config", "main", configuration)
 }
 
 // start starts a daemon on free ports.
@@ -114,10 +124,14 @@
 	if tc.refusingStore != "" {
 		storeAddress = tc.refusingStore
 	}
+	bounds := map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()}
+	if tc.strictRevocation > 0 {
+		site.SetStrictRevocation(bounds, tc.strictRevocation)
+	}
 	settings := map[string]any{
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
-		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()},
+		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": bounds,
 		"bootstrap": tc.firstStart, "platform": map[string]any{"addr": storeAddress, "form": "objects"},
 		"cloud": map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
 	}
@@ -189,7 +203,13 @@
 // connect opens a session to a database at a daemon.
 func (tc *testCluster) connect(n *Node, database string) *caller {
 	tc.t.Helper()
-	c, err := site.Connect(n.settings.CallerAddress.String(), database)
+	return tc.connectWithKey(n, database, "test")
+}
+
+// connectWithKey opens a session to a database at a daemon with an API key.
+func (tc *testCluster) connectWithKey(n *Node, database, key string) *caller {
+	tc.t.Helper()
+	c, err := site.ConnectWithKey(n.settings.CallerAddress.String(), database, key)
 	if err != nil {
 		tc.t.Fatal(err)
 	}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -42,6 +42,9 @@
 	// calls cover the case that the store refuses only the relay.
 	firstFallbackPause = 300 * time.Millisecond
 	maxFallbackPause   = 2 * time.Second
+	// otherDomainWait is how long a watch at a relay of another failure domain waits for a
+	// change after a failed call to the store. Meanwhile the store is not called.
+	otherDomainWait = 500 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -86,6 +89,16 @@
 	// onEra is called before the first objects of a later era than the last known one are
 	// delivered, with the time since the last answer of the earlier era; it may be nil.
 	onEra func(era store.Era, sinceAnswer time.Duration)
+	// redact, if not nil, returns an object without its secrets. It is applied to each
+	// object before it is kept, delivered or sent to other daemons.
+	redact func(store.Object) store.Object
+	// onConfirmed is called with the time since boot at which the delivered objects were
+	// last known to be current; it may be nil.
+	onConfirmed func(asOf time.Duration)
+	// acrossDomains makes the feed ask a relay of another failure domain if neither the
+	// relay of its own nor the store answers. otherAnswered reports whether the last such
+	// call got an answer.
+	acrossDomains, otherAnswered bool
 	// answeredAt is when the last answer came, since boot.
 	answeredAt time.Duration
 }
@@ -140,25 +153,18 @@
 			// All daemons turn from the founder to the relay at the same time.
 			wait = min(wait, joiningFor)
 		}
-		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
-		if err == nil && !continues(from, answer) {
-			err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
-		}
+		next, err := f.pollRelay(ctx, relay, from, wait)
 		if err == nil {
 			f.fallbackPause, f.nextFallback = 0, 0
-			// This daemon may become the relay; its copy must be complete then.
-			if answer.Complete {
-				f.mirror.replace(fromRelay, answer.Page)
-			} else {
-				f.mirror.change(fromRelay, answer.Page)
-			}
-			f.deliver(ctx, from.Era, answer.Complete, answer.Page)
-			return answer.Page.Point(), nil
+			return next, nil
 		}
-		if errors.Is(err, peer.ErrNotCurrent) {
-			f.relays.RelayOutdated(relay.Name())
-		}
-		if joiningFor > 0 || from.Revision != 0 && boottime.Now() < f.nextFallback {
+		pause := f.nextFallback - boottime.Now()
+		if joiningFor > 0 || from.Revision != 0 && pause > 0 {
+			if f.otherAnswered {
+				if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
+					return next, nil
+				}
+			}
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
@@ -174,9 +180,78 @@
 	} else {
 		f.fallbackPause, f.nextFallback = 0, 0
 	}
+	if err != nil && isUnanswered(err) {
+		if next, ok := f.pollOtherDomain(ctx, from, otherDomainWait); ok {
+			return next, nil
+		}
+	}
 	return next, err
 }
 
+// pollOtherDomain makes one watch call to a relay of another failure domain, if the feed
+// is acrossDomains, and reports whether it got an answer.
+func (f *feed) pollOtherDomain(ctx context.Context, from store.Point, wait time.Duration) (store.Point, bool) {
+	f.otherAnswered = false
+	if !f.acrossDomains {
+		return from, false
+	}
+	relay := f.relays.NearestOtherRelay()
+	if relay == nil {
+		return from, false
+	}
+	next, err := f.pollRelay(ctx, relay, from, wait)
+	f.otherAnswered = err == nil
+	return next, err == nil
+}
+
+// isUnanswered reports whether an error of a call to the store tells nothing of its content.
+func isUnanswered(err error) bool {
+	return !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrEraChanged)
+}
+
+// pollRelay makes one watch call to a relay and returns the point to continue from.
+func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, from store.Point, wait time.Duration) (store.Point, error) {
+	started := boottime.Now()
+	answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
+	if err == nil && !continues(from, answer) {
+		err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
+	}
+	if errors.Is(err, peer.ErrNotCurrent) {
+		f.relays.RelayOutdated(relay.Name())
+	}
+	if err != nil {
+		return from, err
+	}
+	f.redactPage(answer.Page)
+	// This daemon may become the relay; its copy must be complete then.
+	if answer.Complete {
+		f.mirror.replace(fromRelay, answer.Page)
+	} else {
+		f.mirror.change(fromRelay, answer.Page)
+	}
+	f.deliver(ctx, from.Era, answer.Complete, answer.Page)
+	// The relay got the request after started, so the true time is not before this one.
+	f.confirm(started + answer.ConfirmedAfter)
+	return answer.Page.Point(), nil
+}
+
+// redactPage redacts the objects of a page.
+func (f *feed) redactPage(page store.Page) {
+	if f.redact == nil {
+		return
+	}
+	for i, o := range page.Objects {
+		page.Objects[i] = f.redact(o)
+	}
+}
+
+// confirm calls onConfirmed if there is one.
+func (f *feed) confirm(asOf time.Duration) {
+	if f.onConfirmed != nil {
+		f.onConfirmed(min(asOf, boottime.Now()))
+	}
+}
+
 // continues reports whether the answer of a relay continues the history from a point: it
 // tells what changed in the same era, or all objects of that era or a later one. A relay of
 // an earlier version tells no era.
@@ -198,8 +273,10 @@
 		if err != nil {
 			return from, err
 		}
+		f.redactPage(page)
 		f.mirror.replace(started, page)
 		f.deliver(ctx, from.Era, true, page)
+		f.confirm(started)
 		return page.Point(), nil
 	}
 	watch, cancel := context.WithTimeout(ctx, wait+watchSlack)
@@ -208,8 +285,11 @@
 	if err != nil {
 		return from, err
 	}
-	f.mirror.change(boottime.Now(), page)
+	answered := boottime.Now()
+	f.redactPage(page)
+	f.mirror.change(answered, page)
 	f.deliver(ctx, from.Era, false, page)
+	f.confirm(answered)
 	page.Revision = max(page.Revision, from.Revision)
 	return page.Point(), nil
 }
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -11,6 +11,19 @@
 	"github.com/laburnumrack/laburnumrack/platform"
 )
 
+// strictWaitShare is the share of the revocation time that a watch of the configuration
+// waits under strict revocation. A follower's confirmation is up to two watches old, its own
+// and that of its relay, and one of them may be lost.
+const strictWaitShare = 0.25
+
+// configurationWait returns how long a watch of the configuration waits for a change.
+func configurationWait(s platform.Settings) time.Duration {
+	if !s.StrictRevocation {
+		return watchWait
+	}
+	return min(watchWait, time.Duration(strictWaitShare*float64(s.RevocationTime)))
+}
+
 // configurationFeed returns the feed that applies the configuration.
 func (n *Node) configurationFeed() *feed {
 	apply := func(o store.Object) {
@@ -32,7 +45,8 @@
 		}
 	}
 	return &feed{
-		kind: platform.KindConfiguration, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindConfiguration], wait: watchWait, log: n.log, onChange: apply, onPoint: n.promotionLock.ObservePoint,
+		kind: platform.KindConfiguration, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindConfiguration], wait: configurationWait(n.settings), log: n.log, onChange: apply, onPoint: n.promotionLock.ObservePoint,
+		redact: platform.RedactConfiguration, onConfirmed: n.confirmation.Confirm, acrossDomains: true,
 		onReplace: func(objects []store.Object) {
 			for _, o := range objects {
 				apply(o)
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -147,7 +147,8 @@
 // is no longer current; Current in the response reports whether the copy is current. A
 // copy that is not current at first may become so within takeoverGrace.
 func (m *mirror) watch(ctx context.Context, from store.Point) peer.WatchResponse {
-	graceEnd := boottime.Now() + takeoverGrace
+	received := boottime.Now()
+	graceEnd := received + takeoverGrace
 	for {
 		m.mu.Lock()
 		remaining := m.currentFor()
@@ -160,7 +161,7 @@
 		changed := m.changed
 		if remaining <= 0 || current && m.isPast(from) || ctx.Err() != nil {
 			r := m.changesSince(from)
-			r.Current = current
+			r.Current, r.ConfirmedAfter = current, m.currentAsOf-received
 			m.mu.Unlock()
 			return r
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	options       Options
 	settings      platform.Settings
 	configuration catalog.Holder
+	confirmation  *catalog.Confirmation
 	registry      *backend.Registry
 	frontend      *frontend.Server
 	members       *membership.Members
@@ -116,7 +117,10 @@
 	default:
 		return nil, fmt.Errorf("log: %.40q is neither %s nor %s", o.Log, LogAll, LogNone)
 	}
-	n := &Node{options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress, log)}
+	n := &Node{
+		options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress, log),
+		confirmation: catalog.NewConfirmation(settings.RevocationTime),
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.promotionLock = failover.NewLockManager(n.store, settings.Name, uuid.NewString(), n.log)
 	promoter := &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
@@ -138,7 +142,7 @@
 	n.promotionLock.SetSettler(n.settleGroups)
 	relayReader.relays, peers.members = n.members, n.members
 	n.mirrors = mirrors{
-		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
+		platform.KindConfiguration: newMirror(configurationWait(settings)), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
 	}
 	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, OnPeerConnected: n.members.PeerConnected}
 	n.frontend = &frontend.Server{
@@ -147,6 +151,9 @@
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
 		Wrap:        func(c net.Conn) frontend.Conn { return platform.NewCallerConn(c) },
 	}
+	if settings.StrictRevocation {
+		n.frontend.Confirmation = n.confirmation
+	}
 	return n, nil
 }
 
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -36,6 +36,9 @@
 	Complete bool `cbor:"2,keyasint,omitempty"`
 	// Current is true if the relay's copy is current.
 	Current bool `cbor:"3,keyasint,omitempty"`
+	// ConfirmedAfter is the time from the receipt of the request to the last answer of the
+	// store to the relay; negative if that answer came before.
+	ConfirmedAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // ObjectWatcher answers watches from this daemon's copy of the objects.
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -33,12 +33,17 @@
 // Connect opens a session with a database at an IP:port. It returns an error only if the
 // TCP connection fails; a session that the daemon refuses has Refused set.
 func Connect(address, database string) (*Caller, error) {
+	return ConnectWithKey(address, database, "test")
+}
+
+// ConnectWithKey is Connect with an API key.
+func ConnectWithKey(address, database, key string) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp4", address, answerTimeout)
 	if err != nil {
 		return nil, err
 	}
 	c := &Caller{conn: conn, reader: bufio.NewReader(conn)}
-	if err := c.send("START " + database + " test"); err != nil {
+	if err := c.send("START " + database + " " + key); err != nil {
 		c.Refused = Closed
 	} else if line := c.ReadLine(); line != "READY I -" {
 		c.Refused = line
