Keep the numbers of the codes that daemons send each other

Unauthorized was added in the middle of the list, so that a home of an earlier version that answers with an unknown outcome was understood by a newer gateway as a refusal for the key. New codes are added at the end.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -244,6 +244,7 @@
 		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return st, err
 		}
+		fault := ses.state.transactionFault()
 		switch {
 		case ses.state.isRevoked():
 			ses.state.rollBackRevoked()
@@ -252,8 +253,8 @@
 				return query.Statement{}, errKeyRevoked
 			}
 			revoked = true
-		case ses.state.transactionFault() != "":
-			ses.state.ExpireTransaction(ses.state.transactionFault())
+		case fault != "":
+			ses.state.ExpireTransaction(fault)
 		case !ses.state.InTransaction():
 			if s.leaving.Load() && !ses.conn.Buffered() {
 				return query.Statement{}, errLeaving
--- a/internal/frontend/quota.go
+++ b/internal/frontend/quota.go
@@ -9,11 +9,12 @@
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 )
 
-// QuotaLimiter limits the operations of tenants.
+// QuotaLimiter limits the operations of tenants. It must be safe for concurrent use.
 type QuotaLimiter interface {
 	// Admit takes one operation of a tenant with a limit out of the tenant's quota, by the
 	// limits of the given version of the configuration. If there is none left, it returns
-	// false with the time after which to retry and the reason, which must be a constant.
+	// false with the time after which to retry and the reason, which must be a constant. The
+	// time that the call takes counts as waiting time of the statement.
 	Admit(tenant catalog.Tenant, version uint64) (retryAfter time.Duration, reason string, ok bool)
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/freshness"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
@@ -23,6 +24,8 @@
 // echoHome is a home whose units answer with the text of the statement and the session
 // value "k".
 type echoHome struct {
+	// header is the header of the last unit that was opened.
+	header  atomic.Pointer[stmtunit.Header]
 	release chan struct{} // calls wait for it if not nil
 	closed  atomic.Int64
 	opened  atomic.Int64
@@ -30,6 +33,7 @@
 
 func (e *echoHome) Open(h stmtunit.Header) stmtunit.Unit {
 	e.opened.Add(1)
+	e.header.Store(&h)
 	return &echoUnit{e, h}
 }
 
@@ -102,6 +106,35 @@
 	}
 }
 
+func TestHeader(t *testing.T) {
+	// Guards against homes that check another tenant or key than the gateway's.
+	Convey("The tenant and the digest of the key reach the home", t, func() {
+		home := &echoHome{}
+		c, _ := startServer(t, &Server{Name: "home", Opener: home}, "home")
+		want := stmtunit.Header{Session: 5, Tenant: "a", Key: catalog.DigestKey("key"), Version: 3}
+		So(c.Open(want).Run(newCall("a")).Outcome, ShouldEqual, stmtunit.Answered)
+		So(*home.header.Load(), ShouldResemble, want)
+	})
+	// Guards against larger messages, and messages that earlier versions do not know, in
+	// deployments without tenants.
+	Convey("A header without a tenant is encoded without the fields of tenants", t, func() {
+		data, err := encoding.Marshal(stmtunit.Header{Session: 5})
+		So(err, ShouldBeNil)
+		So(string(data), ShouldNotContainSubstring, "Tenant")
+		So(string(data), ShouldNotContainSubstring, "Key")
+	})
+	// Guards against a code that a daemon of another version reads as a different one, for
+	// example an unknown outcome as a refusal.
+	Convey("The codes that earlier versions send keep their numbers", t, func() {
+		for i, c := range []query.Code{
+			query.OK, query.Busy, query.Aborted, query.Behind, query.ReadOnly, query.WrongTarget, query.TooManyConnections, query.NoDatabase,
+			query.Unsure, query.TimedOut, query.ExecutionFailed, query.NoStatement, query.Bad, query.Other,
+		} {
+			So(int(c), ShouldEqual, i)
+		}
+	})
+}
+
 func TestUnits(t *testing.T) {
 	Convey("Concurrent units share a connection and each gets its own answer", t, func() {
 		home := &echoHome{}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -120,8 +120,6 @@
 	WrongTarget
 	TooManyConnections
 	NoDatabase
-	// Unauthorized means that the caller's key is unknown or was revoked.
-	Unauthorized
 	// Unsure means that the statement may have run.
 	Unsure
 	TimedOut
@@ -132,6 +130,9 @@
 	Bad
 	// Other replaces any code that this version does not know.
 	Other
+	// Unauthorized means that the caller's key is unknown or was revoked. Daemons send each
+	// other codes as numbers, so new codes are added at the end.
+	Unauthorized
 )
 
 var codeNames = map[Code]string{
