--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -41,6 +41,8 @@
 	started       chan query.Code
 	closed        chan struct{}
 	closeOnce     sync.Once
+	// partial is set if a part of a statement has arrived.
+	partial bool
 
 	mu       sync.Mutex
 	deadline *time.Timer   // guarded by mu
@@ -79,7 +81,7 @@
 	}
 }
 
-func (c *fakeConn) Buffered() bool { return false }
+func (c *fakeConn) Buffered() bool { return c.partial }
 
 func (c *fakeConn) WriteReady() error {
 	c.started <- query.OK
@@ -343,6 +345,19 @@
 			}
 		}
 	})
+	// Guards against a caller that keeps its session and transaction by sending only a part
+	// of a statement.
+	Convey("A session that has received a part of a statement is rolled back and closed as well", t, func() {
+		a := newAccessTest(with)
+		conn, _ := a.connect("db", "key")
+		conn.query(t, query.Begin, "")
+		conn.query(t, query.Write, "w")
+		conn.partial = true
+		a.apply(removals["one key"])
+		So(conn.isClosedWithin(time.Second), ShouldBeTrue)
+		eventually(func() bool { return a.home.units() == 0 })
+		So(a.written(), ShouldContainSubstring, `"reason":"key_revoked"`)
+	})
 	// Guards against a session that misses the change because it was running a statement.
 	Convey("A session that runs a statement while its key is revoked is closed after the answer", t, func() {
 		a := newAccessTest(with)
