Follow the relay at a restart of the fleet, and compress what relays send

Cause: after all daemons had been killed, each of 96 listed the configuration and the 750 targets from the store, 0.5 MB in two or three attempts at once. The half in the other region filled the 60 Mbit/s between the regions for longer than the time-out of a list, so that no list ended and all were asked for again; packets to targets waited as long, which looked like lost primaries.

Now a daemon gets the short list of VMs first and follows its relay, and only relays list from the store; a follower without a copy waits for its relay for up to 3 s. A list is not attempted again while its answer arrives. A relay that the store refuses takes its copy from another relay. Large pages between daemons are compressed, once for all followers.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -202,6 +202,27 @@
 	return m.client(relay)
 }
 
+// DomainSize returns the number of VMs of this failure domain, this one included, and false
+// as long as the VMs are not known.
+func (m *Members) DomainSize() (int, bool) {
+	if !m.Known() {
+		return 0, false
+	}
+	n := 0
+	for _, vm := range m.view.Load().VMs {
+		if vm.FailureDomain == m.self.FailureDomain {
+			n++
+		}
+	}
+	return n, true
+}
+
+// HasContact reports whether this daemon knows another one that it can follow before it
+// knows the VMs.
+func (m *Members) HasContact() bool {
+	return m.contact() != nil
+}
+
 // client returns the client of a VM, and creates it if there is none for its address and
 // name.
 func (m *Members) client(vm fleet.VM) *peer.Client {
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -41,6 +41,16 @@
 	return relays[0], true
 }
 
+// AlternativeRelay returns the client of a relay other than this daemon, of this failure
+// domain if possible; nil if none is known.
+func (m *Members) AlternativeRelay() *peer.Client {
+	relays := slices.DeleteFunc(slices.Clone(m.view.Load().Relays(m.self.FailureDomain)), func(vm fleet.VM) bool { return vm.Name == m.self.Name })
+	if relay, ok := m.selectRelay(relays); ok {
+		return m.client(relay)
+	}
+	return m.NearestOtherRelay()
+}
+
 // NearestOtherRelay returns the client of a relay of another failure domain, of this
 // daemon's region if possible; nil if none is known.
 func (m *Members) NearestOtherRelay() *peer.Client {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -32,8 +33,17 @@
 	slowWatchWait = 10 * time.Second
 	// watchSlack is how long after its wait a watch without an answer counts as lost.
 	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds the hedged attempts of one list call.
-	listTimeout = 2 * time.Second
+	// listTimeout bounds the hedged attempts of one list call until an answer begins, and
+	// listTransferTimeout bounds them in all.
+	listTimeout         = 2 * time.Second
+	listTransferTimeout = 4 * time.Second
+	// relayPatience is how long a daemon without a copy asks relays before it lists the
+	// objects from the store itself. The delay is doubled at random, so that the daemons of
+	// a fleet whose relays fail don't call the store at the same time.
+	relayPatience = 1500 * time.Millisecond
+	// directListVMs is the number of VMs of a failure domain up to which a daemon without
+	// a copy does not wait for its relay: so few lists load neither the store nor a link.
+	directListVMs = 4
 	// batchPause is the time between an answer with changes and the next watch, so that
 	// changes in quick succession need one call.
 	batchPause = 100 * time.Millisecond
@@ -54,9 +64,15 @@
 	// RelayOutdated records that a relay had no current copy, so that another one is
 	// followed.
 	RelayOutdated(name string)
+	// DomainSize returns the number of VMs of this failure domain, and false as long as
+	// they are not known.
+	DomainSize() (int, bool)
 	// JoiningFor returns how much longer the founder of the failure domain acts as its relay,
 	// not positive if it does not.
 	JoiningFor() time.Duration
+	// AlternativeRelay returns the client of a relay other than this daemon, nil if none
+	// is known.
+	AlternativeRelay() *peer.Client
 	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
 	// none is known.
 	NearestOtherRelay() *peer.Client
@@ -77,6 +93,9 @@
 	// fallbackPause is the pause after the last failed call of a follower to the store,
 	// and nextFallback is when the next one may be made, since boot.
 	fallbackPause, nextFallback time.Duration
+	// firstListAt is when a follower without a copy may list the objects from the store,
+	// since boot; 0 if it has not asked a relay yet.
+	firstListAt time.Duration
 	// onReplace is called with all objects, onChange with each changed object.
 	onReplace func([]store.Object)
 	onChange  func(store.Object)
@@ -140,34 +159,36 @@
 			// All daemons turn from the founder to the relay at the same time.
 			wait = min(wait, joiningFor)
 		}
-		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
-		if err == nil && !continues(from, answer) {
-			err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
-		}
+		next, err := f.pollRelay(ctx, relay, from, wait)
 		if err == nil {
-			f.fallbackPause, f.nextFallback = 0, 0
-			// This daemon may become the relay; its copy must be complete then.
-			if answer.Complete {
-				f.mirror.replace(fromRelay, answer.Page)
-			} else {
-				f.mirror.change(fromRelay, answer.Page)
-			}
-			f.deliver(ctx, from.Era, answer.Complete, answer.Page)
-			return answer.Page.Point(), nil
+			f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
+			return next, nil
 		}
 		if errors.Is(err, peer.ErrNotCurrent) {
 			f.relays.RelayOutdated(relay.Name())
 		}
-		if joiningFor > 0 || from.Revision != 0 && boottime.Now() < f.nextFallback {
+		if joiningFor > 0 || from.Revision != 0 && boottime.Now() < f.nextFallback || from.Revision == 0 && f.waitsForRelay() {
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
+	if from.Revision == 0 {
+		f.mirror.setLoading(true)
+		defer f.mirror.setLoading(false)
+	}
 	wait := f.wait
 	if relay == nil && !f.mirror.isCurrent() {
 		// Until the first answer, the followers of a new relay call the store themselves.
 		wait = 0
 	}
 	next, err := f.pollStore(ctx, from, wait)
+	if err != nil && relay == nil && from.Revision == 0 {
+		// The store may refuse this VM, which is a relay nevertheless, and serve others.
+		if other := f.alternativeRelay(); other != nil {
+			if next, err := f.pollRelay(ctx, other, from, 0); err == nil {
+				return next, nil
+			}
+		}
+	}
 	if err != nil && relay != nil {
 		f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
 		f.nextFallback = boottime.Now() + f.fallbackPause
@@ -177,6 +198,25 @@
 	return next, err
 }
 
+// pollRelay makes one call to a relay. It returns the point to continue from.
+func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, from store.Point, wait time.Duration) (store.Point, error) {
+	answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
+	if err == nil && !continues(from, answer) {
+		err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
+	}
+	if err != nil {
+		return from, err
+	}
+	// This daemon may become the relay; its copy must be complete then.
+	if answer.Complete {
+		f.mirror.replace(fromRelay, answer.Page)
+	} else {
+		f.mirror.change(fromRelay, answer.Page)
+	}
+	f.deliver(ctx, from.Era, answer.Complete, answer.Page)
+	return answer.Page.Point(), nil
+}
+
 // continues reports whether the answer of a relay continues the history from a point: it
 // tells what changed in the same era, or all objects of that era or a later one. A relay of
 // an earlier version tells no era.
@@ -192,9 +232,7 @@
 func (f *feed) pollStore(ctx context.Context, from store.Point, wait time.Duration) (store.Point, error) {
 	started := boottime.Now()
 	if from.Revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		page, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+		page, err := f.list(ctx)
 		if err != nil {
 			return from, err
 		}
@@ -214,6 +252,34 @@
 	return page.Point(), nil
 }
 
+// list gets all objects from the store.
+func (f *feed) list(ctx context.Context) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTransferTimeout)
+	defer cancel()
+	ctx, answering := withAnswerProgress(ctx)
+	unanswered := time.AfterFunc(listTimeout, func() {
+		if !answering() {
+			cancel()
+		}
+	})
+	defer unanswered.Stop()
+	return hedge(ctx, hedgeInterval, answering, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+}
+
+// waitsForRelay reports whether a follower without a copy, whose relay has not given it
+// one, leaves the store to the relay for now. As long as the VMs are not known there is no
+// relay, only a daemon that happens to have connected to this one.
+func (f *feed) waitsForRelay() bool {
+	if size, known := f.relays.DomainSize(); !known || size <= directListVMs {
+		return false
+	}
+	now := boottime.Now()
+	if f.firstListAt == 0 {
+		f.firstListAt = now + relayPatience + rand.N(relayPatience)
+	}
+	return now < f.firstListAt
+}
+
 // logSourceChange logs the source that the feed follows if it has changed.
 func (f *feed) logSourceChange(relay *peer.Client) {
 	source := "store"
@@ -226,6 +292,14 @@
 	}
 }
 
+// alternativeRelay returns the client of a relay other than this daemon, nil for none.
+func (f *feed) alternativeRelay() *peer.Client {
+	if f.relays == nil {
+		return nil
+	}
+	return f.relays.AlternativeRelay()
+}
+
 // relay returns the client of the relay to follow, nil for none.
 func (f *feed) relay() *peer.Client {
 	if f.relays == nil {
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -26,6 +26,8 @@
 	baseRevision store.Revision // guarded by mu
 	currentAsOf  time.Duration  // guarded by mu; since boot, 0 before the first answer of the store
 	changed      chan struct{}  // guarded by mu; closed at the next change
+	// loading is whether the first listing is being read from the store.
+	loading bool // guarded by mu
 }
 
 // newMirror returns an empty mirror that watches with the given wait keep current.
@@ -122,6 +124,31 @@
 	m.changed = make(chan struct{})
 }
 
+// grace returns how long a follower waits for a copy that is not current.
+func (m *mirror) grace() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.era == 0 {
+		return startGrace
+	}
+	return takeoverGrace
+}
+
+// setLoading records whether the first listing is being read, and wakes the followers that
+// wait for it once it is not.
+func (m *mirror) setLoading(loading bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loading == loading {
+		return
+	}
+	m.loading = loading
+	if !loading {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+}
+
 // currentFor returns how much longer the copy counts as current; it is not positive if it
 // does not. m.mu must be held.
 func (m *mirror) currentFor() time.Duration {
@@ -142,19 +169,31 @@
 // answer to the relay's first call to the store.
 const takeoverGrace = 150 * time.Millisecond
 
+// startGrace is the same for a relay that has no copy at all, because it has just started:
+// in a fleet that restarts at once, followers may know of their relay before it does.
+const startGrace = 500 * time.Millisecond
+
+// loadingCheckInterval bounds the wait of a follower between two checks whether the first
+// listing is still being read.
+const loadingCheckInterval = time.Second
+
 // watch answers a follower with the changes after from, or with all objects if the mirror
 // does not know all removals since then. It waits for a change until ctx ends or the copy
 // is no longer current; Current in the response reports whether the copy is current. A
-// copy that is not current at first may become so within takeoverGrace.
+// copy that is not current at first may become so within takeoverGrace, or once the first
+// listing has been read.
 func (m *mirror) watch(ctx context.Context, from store.Point) peer.WatchResponse {
-	graceEnd := boottime.Now() + takeoverGrace
+	graceEnd := boottime.Now() + m.grace()
 	for {
 		m.mu.Lock()
 		remaining := m.currentFor()
 		current := remaining > 0 && from.Era <= m.era
-		if !current {
+		switch {
+		case !current && m.loading:
+			remaining = loadingCheckInterval
+		case !current:
 			remaining = graceEnd - boottime.Now()
-		} else {
+		default:
 			graceEnd = 0
 		}
 		changed := m.changed
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -188,7 +188,9 @@
 
 func (f *fixedRelay) RelayOutdated(string) {}
 
-func (f *fixedRelay) JoiningFor() time.Duration { return 0 }
+func (f *fixedRelay) JoiningFor() time.Duration      { return 0 }
+func (f *fixedRelay) DomainSize() (int, bool)        { return 1, true }
+func (f *fixedRelay) AlternativeRelay() *peer.Client { return nil }
 
 func (f *fixedRelay) NearestOtherRelay() *peer.Client { return nil }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -225,11 +225,40 @@
 			n.log.StateChange("founder_unknown", "error", err.Error())
 		}
 	}
-	for _, f := range []*feed{n.configurationFeed(), n.targetFeed(), n.vmFeed()} {
+	vms := n.vmFeed()
+	n.loops.Go(func() { vms.run(n.ctx) })
+	n.waitForSource()
+	for _, f := range []*feed{n.configurationFeed(), n.targetFeed()} {
 		n.loops.Go(func() { f.run(n.ctx) })
 	}
 }
 
+// Limits of the wait for the list of VMs.
+const (
+	// sourceTimeout bounds the wait. A store that does not answer this list in that time
+	// may still answer for other objects.
+	sourceTimeout = 2 * time.Second
+	// contactDelay is how long a daemon waits before it follows a contact instead: any
+	// daemon may have connected to it, not only one with a current copy.
+	contactDelay = 600 * time.Millisecond
+	// sourcePollInterval is the time between checks.
+	sourcePollInterval = 5 * time.Millisecond
+)
+
+// waitForSource waits until the daemon knows which VM to follow. The list of VMs is small;
+// the configuration and the list of targets may be large, and a daemon gets them from its
+// relay if it has one.
+func (n *Node) waitForSource() {
+	started := boottime.Now()
+	for n.ctx.Err() == nil && !n.members.Known() {
+		waited := boottime.Now() - started
+		if waited >= sourceTimeout || waited >= contactDelay && n.members.HasContact() {
+			return
+		}
+		ctxtime.Sleep(n.ctx, sourcePollInterval)
+	}
+}
+
 // serveHTTP serves until s is closed; another error is logged.
 func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,6 +28,7 @@
 	// Quotas answers requests for operations and tokens of tenants; it may be nil.
 	Quotas QuotaSource
 
+	packed    packCache
 	leaving   atomic.Bool
 	mu        sync.Mutex
 	conns     map[*serverConn]struct{} // guarded by mu
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -22,6 +22,8 @@
 	// Era is the highest era that the sender knows of. A relay whose copy is of an earlier
 	// one has no current copy.
 	Era store.Era `cbor:"4,keyasint,omitempty"`
+	// AcceptsPacked reports that the sender can read WatchResponse.Packed.
+	AcceptsPacked bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Point returns the point in the store's history after which changes are asked for.
@@ -36,6 +38,8 @@
 	Complete bool `cbor:"2,keyasint,omitempty"`
 	// Current is true if the relay's copy is current.
 	Current bool `cbor:"3,keyasint,omitempty"`
+	// Packed holds the objects of Page, as CBOR compressed with DEFLATE, if they are large.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // ObjectWatcher answers watches from this daemon's copy of the objects.
@@ -49,6 +53,9 @@
 	var w WatchResponse
 	if c.server.Objects != nil && !c.server.leaving.Load() {
 		w = c.server.Objects.Watch(ctx, r)
+		if r.AcceptsPacked {
+			c.server.packed.pack(r, &w)
+		}
 	}
 	// The client learns of a failed write from the end of the connection.
 	_ = c.frames.write(response{Unit: id, Watched: &w})
@@ -67,6 +74,7 @@
 	if err != nil {
 		return WatchResponse{}, err
 	}
+	r.AcceptsPacked = true
 	answer, _, err := conn.roundTrip(request{Unit: conn.lastID.Add(1), Watch: &r}, r.Wait+watchTimeoutMargin)
 	if err != nil {
 		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, err)
@@ -74,6 +82,9 @@
 	if answer.Watched == nil || !answer.Watched.Current {
 		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, ErrNotCurrent)
 	}
+	if err := answer.Watched.unpack(); err != nil {
+		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, err)
+	}
 	return *answer.Watched, nil
 }
 
