--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -32,8 +33,17 @@
 	slowWatchWait = 10 * time.Second
 	// watchSlack is how long after its wait a watch without an answer counts as lost.
 	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds the hedged attempts of one list call.
-	listTimeout = 2 * time.Second
+	// listTimeout bounds the hedged attempts of one list call until an answer begins, and
+	// listTransferTimeout bounds them in all.
+	listTimeout         = 2 * time.Second
+	listTransferTimeout = 4 * time.Second
+	// relayPatience is how long a daemon without a copy asks relays before it lists the
+	// objects from the store itself. The delay is doubled at random, so that the daemons of
+	// a fleet whose relays fail don't call the store at the same time.
+	relayPatience = 1500 * time.Millisecond
+	// directListVMs is the number of VMs of a failure domain up to which a daemon without
+	// a copy does not wait for its relay: so few lists load neither the store nor a link.
+	directListVMs = 4
 	// batchPause is the time between an answer with changes and the next watch, so that
 	// changes in quick succession need one call.
 	batchPause = 100 * time.Millisecond
@@ -57,9 +67,15 @@
 	// RelayOutdated records that a relay had no current copy, so that another one is
 	// followed.
 	RelayOutdated(name string)
+	// DomainSize returns the number of VMs of this failure domain, and false as long as
+	// they are not known.
+	DomainSize() (int, bool)
 	// JoiningFor returns how much longer the founder of the failure domain acts as its relay,
 	// not positive if it does not.
 	JoiningFor() time.Duration
+	// AlternativeRelay returns the client of a relay other than this daemon, nil if none
+	// is known.
+	AlternativeRelay() *peer.Client
 	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
 	// none is known.
 	NearestOtherRelay() *peer.Client
@@ -80,6 +96,9 @@
 	// fallbackPause is the pause after the last failed call of a follower to the store,
 	// and nextFallback is when the next one may be made, since boot.
 	fallbackPause, nextFallback time.Duration
+	// firstListAt is when a follower without a copy may list the objects from the store,
+	// since boot; 0 if it has not asked a relay yet.
+	firstListAt time.Duration
 	// onReplace is called with all objects, onChange with each changed object.
 	onReplace func([]store.Object)
 	onChange  func(store.Object)
@@ -155,11 +174,11 @@
 		}
 		next, err := f.pollRelay(ctx, relay, from, wait)
 		if err == nil {
-			f.fallbackPause, f.nextFallback = 0, 0
+			f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
 			return next, nil
 		}
 		pause := f.nextFallback - boottime.Now()
-		if joiningFor > 0 || from.Revision != 0 && pause > 0 {
+		if joiningFor > 0 || from.Revision != 0 && pause > 0 || from.Revision == 0 && f.waitsForRelay() {
 			if f.otherAnswered {
 				if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
 					return next, nil
@@ -168,12 +187,21 @@
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
+	if from.Revision == 0 {
+		f.mirror.setLoading(true)
+		defer f.mirror.setLoading(false)
+	}
 	wait := f.wait
 	if relay == nil && !f.mirror.isCurrent() {
 		// Until the first answer, the followers of a new relay call the store themselves.
 		wait = 0
 	}
 	next, err := f.pollStore(ctx, from, wait)
+	if err != nil && relay == nil && from.Revision == 0 {
+		if next, ok := f.pollAlternative(ctx, from); ok {
+			return next, nil
+		}
+	}
 	if err != nil && relay != nil {
 		f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
 		f.nextFallback = boottime.Now() + f.fallbackPause
@@ -188,6 +216,20 @@
 	return next, err
 }
 
+// pollAlternative gets the objects from another relay, for a relay without a copy: the
+// store may refuse its VM and serve others. It reports whether there was one.
+func (f *feed) pollAlternative(ctx context.Context, from store.Point) (store.Point, bool) {
+	if f.relays == nil {
+		return from, false
+	}
+	relay := f.relays.AlternativeRelay()
+	if relay == nil {
+		return from, false
+	}
+	next, err := f.pollRelay(ctx, relay, from, 0)
+	return next, err == nil
+}
+
 // pollOtherDomain makes one watch call to a relay of another failure domain, if the feed
 // is acrossDomains, and reports whether it got an answer.
 func (f *feed) pollOtherDomain(ctx context.Context, from store.Point, wait time.Duration) (store.Point, bool) {
@@ -267,9 +309,7 @@
 func (f *feed) pollStore(ctx context.Context, from store.Point, wait time.Duration) (store.Point, error) {
 	started := boottime.Now()
 	if from.Revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		page, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+		page, err := f.list(ctx)
 		if err != nil {
 			return from, err
 		}
@@ -294,6 +334,34 @@
 	return page.Point(), nil
 }
 
+// list gets all objects from the store.
+func (f *feed) list(ctx context.Context) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTransferTimeout)
+	defer cancel()
+	ctx, answering := withAnswerProgress(ctx)
+	unanswered := time.AfterFunc(listTimeout, func() {
+		if !answering() {
+			cancel()
+		}
+	})
+	defer unanswered.Stop()
+	return hedge(ctx, hedgeInterval, answering, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+}
+
+// waitsForRelay reports whether a follower without a copy, whose relay has not given it
+// one, leaves the store to the relay for now. As long as the VMs are not known there is no
+// relay, only a daemon that happens to have connected to this one.
+func (f *feed) waitsForRelay() bool {
+	if size, known := f.relays.DomainSize(); !known || size <= directListVMs {
+		return false
+	}
+	now := boottime.Now()
+	if f.firstListAt == 0 {
+		f.firstListAt = now + relayPatience + rand.N(relayPatience)
+	}
+	return now < f.firstListAt
+}
+
 // logSourceChange logs the source that the feed follows if it has changed.
 func (f *feed) logSourceChange(relay *peer.Client) {
 	source := "store"
