Keep idle connections of tenants, with the full share for every target

A connection of a tenant that is closed after a second idle has to be opened for its next request, which takes 12 ms of a slot, and a replica's limit of a few connections serves a few tenants. If the declared configuration has tenants, every target gets the home's full share, and idle connections are kept while the group is in use. Those above the limit, those that the target has closed and, for 3 s after the target had no room, those that can best be missed are closed. The limit of statements at once stays as it was.

A pool with tenants that finds the target full waits for 1 s, not 200 ms, before it opens an additional connection while it has others to replace. Control statements are not held back by this.

A tenant that the target does not know does not make the target count as failing.

--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -74,6 +74,8 @@
 	leader  atomic.Pointer[LeaderView]
 	targets atomic.Pointer[[]*Target]
 	limits  atomic.Pointer[catalog.GroupLimits]
+	// tenants reports whether the deployment has tenants.
+	tenants atomic.Bool
 	// lastUsed is the time since boot at which a unit was last opened.
 	lastUsed atomic.Int64
 	// requestedTerm is the highest term that another daemon asked this one to promote to.
@@ -306,8 +308,13 @@
 	for _, t := range g.Targets() {
 		info := t.Info()
 		base, limit := connectionLimits(limits.MaxConnections, info.Slots, g.Locality.domainCount(), g.Locality.Distance(info.FailureDomain), leader != nil && leader.Target == t)
-		t.Pool.SetLimits(base, limit)
+		// More connections are for more tenants, not for more statements at once.
 		t.Gate.SetMaxLimit(min(limit, statementLimit(info.Slots, g.Locality.Distance(info.FailureDomain))))
+		if g.tenants.Load() {
+			base, limit = tenantConnectionLimits(limits.MaxConnections, g.Locality.domainCount())
+		}
+		t.Pool.SetKeepIdle(g.tenants.Load())
+		t.Pool.SetLimits(base, limit)
 	}
 }
 
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -21,7 +21,7 @@
 // and the number that it may open. domains is the number of failure domains with homes;
 // distance is 0 for a target in the failure domain of the home.
 func connectionLimits(maxConnections, slots, domains, distance int, primary bool) (base, limit int) {
-	share := (maxConnections - maxConnections/freeShareDivisor) / max(domains, 1)
+	share := homeShare(maxConnections, domains)
 	switch {
 	case primary:
 		limit = share
@@ -33,6 +33,19 @@
 	return 1, max(minConnectionLimit, limit)
 }
 
+// homeShare returns the connections to a target that one of the homes of all failure domains
+// may open.
+func homeShare(maxConnections, domains int) int {
+	return (maxConnections - maxConnections/freeShareDivisor) / max(domains, 1)
+}
+
+// tenantConnectionLimits is connectionLimits for a deployment with tenants. There a
+// connection serves one tenant only, so that many are idle, and every target gets the full
+// share.
+func tenantConnectionLimits(maxConnections, domains int) (base, limit int) {
+	return 1, max(minConnectionLimit, homeShare(maxConnections, domains))
+}
+
 // Limits on the statements that one home runs on a target at once. They cover the slots
 // and the round trip. Further statements wait at the home, which orders them by deadline
 // and serves statements of open transactions first.
--- a/internal/backend/limits_test.go
+++ b/internal/backend/limits_test.go
@@ -27,6 +27,13 @@
 			So(replica, ShouldBeLessThanOrEqualTo, c.maxConnections)
 		}
 	})
+	Convey("With tenants the homes of all failure domains stay under the cap of a target too", t, func() {
+		for _, c := range []struct{ maxConnections, domains, want int }{{82, 6, 11}, {46, 6, 6}, {65, 6, 9}} {
+			_, limit := tenantConnectionLimits(c.maxConnections, c.domains)
+			So(limit, ShouldEqual, c.want)
+			So(limit*c.domains, ShouldBeLessThanOrEqualTo, c.maxConnections)
+		}
+	})
 	Convey("Statements of one home fill the slots", t, func() {
 		So(statementLimit(3, 0), ShouldBeGreaterThan, 3)
 		So(statementLimit(3, farDistance), ShouldBeGreaterThan, statementLimit(3, 1))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -27,6 +27,15 @@
 	fullBackoff = 200 * time.Millisecond
 	// firstBackoff is the same for a pool that has no connection at all.
 	firstBackoff = 50 * time.Millisecond
+	// growBackoff is the same for a pool with tenants and with connections that are not held
+	// by transactions: it serves other tenants in the places of these meanwhile. With
+	// fullBackoff, 6 homes of 80 tenants that started at once were refused 108 times in 3 s by
+	// a target that counted old connections.
+	growBackoff = time.Second
+	// fullMemory is how long after a target had no room idle connections are closed to make
+	// room for those of other homes: the time for which a target counts the connections of a
+	// daemon that lost power.
+	fullMemory = 3 * time.Second
 	// aliveCheckIdle is the idle time after which a connection is checked before use.
 	aliveCheckIdle = 20 * time.Millisecond
 	// initialOpenTime is the assumed time of a dial until one has been measured: a round
@@ -108,9 +117,12 @@
 	limit     int                    // guarded by mu; maximum of open
 	fullUntil time.Time              // guarded by mu; end of the time for which the target counts as full
 	redialAt  time.Time              // guarded by mu; end of the backoff after the target was full
+	growAt    time.Time              // guarded by mu; end of growBackoff
 	// replaceAt is the same for a dial in the place of a connection that was closed for it.
 	replaceAt      time.Time            // guarded by mu
 	tenantRedialAt map[string]time.Time // guarded by mu; end of the backoff of a tenant whose dial failed
+	fullAt         time.Time            // guarded by mu; when the target last had no room
+	keepIdle       bool                 // guarded by mu; set if idle connections are kept as a cache of those of tenants
 	tenanted       bool                 // guarded by mu; set once a request has had a tenant
 	closed         bool                 // guarded by mu
 }
@@ -132,6 +144,15 @@
 	}
 }
 
+// SetKeepIdle sets whether idle connections are kept as long as the group is in use and the
+// target has room, so that tenants find theirs open.
+func (p *Pool) SetKeepIdle(keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepIdle = keep
+	p.tenanted = p.tenanted || keep
+}
+
 // ReserveTransaction waits until another transaction may hold a connection, at most until
 // the given time, and reports whether one may. The reservation ends with
 // CancelTransaction, or when the connection that Pin marked is released or discarded.
@@ -210,6 +231,9 @@
 		p.demand.Record(w.tenant, boottime.Now())
 	}
 	if c := p.takeIdle(w, session, now); c != nil {
+		if p.tenanted {
+			p.dialIfNeeded(0)
+		}
 		p.mu.Unlock()
 		p.countFound(w, foundIdle)
 		return c, Acquired
@@ -260,7 +284,7 @@
 		}
 		if at < 0 && w.control {
 			// The connection to be closed next is the one that is missed least meanwhile.
-			if i, ok := conncache.Victim(p.view(), w.tenant); ok {
+			if i, ok := conncache.Victim(p.view()); ok {
 				at = i
 			}
 		}
@@ -277,12 +301,20 @@
 	}
 }
 
+// backsOff reports whether no connection may be opened for a tenant at a time except in the
+// place of another. growBackoff does not hold for those without a tenant, so that the
+// control statements that tell whether the target answers are not delayed by it. p.mu must
+// be held.
+func (p *Pool) backsOff(tenant string, now time.Time) bool {
+	return now.Before(p.redialAt) || tenant != "" && p.open > p.pinned && now.Before(p.growAt)
+}
+
 // view returns the state of the connections for a decision. The idle ones come first, with
 // the same indices as in p.idle. p.mu must be held.
 func (p *Pool) view() conncache.View {
 	now := boottime.Now()
 	v := conncache.View{
-		Now: now, Limit: p.limit, Full: time.Now().Before(p.redialAt), OpenTime: p.openTime, Demand: &p.demand,
+		Now: now, Limit: p.limit, OpenTime: p.openTime, Demand: &p.demand,
 		Connections: make([]conncache.Connection, 0, p.open), Waiting: make([]string, 0, len(p.waiters)),
 	}
 	idle := make(map[string]int, len(p.tenants))
@@ -417,8 +449,8 @@
 		return
 	}
 	v := p.view()
-	v.Limit = limit
-	switch d := conncache.Decide(v, tenant); {
+	v.Limit, v.Full = limit, p.backsOff(tenant, now)
+	switch d := conncache.Decide(v); {
 	case d.Action == conncache.Open:
 		p.startDial(tenant, false)
 	case d.Action == conncache.Evict && !now.Before(p.replaceAt):
@@ -477,7 +509,11 @@
 		p.dialIfNeeded(0)
 		return
 	}
-	p.target.connectFailed(err)
+	if refused != nil && refused.Code == query.Unauthorized {
+		p.target.markAnswering()
+	} else {
+		p.target.connectFailed(err)
+	}
 	if p.open <= p.dialing {
 		p.failWaiters(func(*waiter) bool { return true })
 		return
@@ -509,7 +545,7 @@
 		backoff = firstBackoff
 	}
 	now := time.Now()
-	p.fullUntil = now.Add(fullBackoff)
+	p.fullAt, p.fullUntil, p.growAt = now, now.Add(fullBackoff), now.Add(growBackoff)
 	if !replacing {
 		p.redialAt = now.Add(backoff)
 	} else {
@@ -523,6 +559,9 @@
 	}
 	p.updateTransactionRoom()
 	time.AfterFunc(p.redialAt.Sub(now), p.retryDial)
+	if p.tenanted {
+		time.AfterFunc(growBackoff, p.retryDial)
+	}
 }
 
 // failWaiters fails the waiting requests that a condition holds for, because the target is
@@ -636,18 +675,52 @@
 	p.dialIfNeeded(0)
 }
 
-// Trim closes connections above the base that have been idle for longer than
-// surplusIdleTimeout. If the group is not in use, it closes those of the base too: this
-// daemon is no longer home of the group, and the target's cap is for those that are.
+// Trim closes idle connections that are not needed. If the group is not in use, these are
+// all that have been idle for longer than surplusIdleTimeout: this daemon is no longer home
+// of the group, and the target's cap is for those that are. Otherwise they are those above
+// the base that have been idle as long, or with SetKeepIdle those that trimKept closes.
 func (p *Pool) Trim(now time.Time, inUse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if inUse && p.keepIdle {
+		p.trimKept(now)
+		return
+	}
 	keep := 0
 	if inUse {
 		keep = p.base
 	}
 	for len(p.idle) > 0 && p.open > keep && now.Sub(p.idle[0].idleSince) > surplusIdleTimeout {
-		p.closeConn(p.removeIdle(0))
+		p.evict(0, p.target.counters.trimmed)
+	}
+}
+
+// trimKept closes idle connections that the target has closed, those above the limit and,
+// within fullMemory after the target had no room, those that can best be missed. p.mu must
+// be held.
+func (p *Pool) trimKept(now time.Time) {
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		if !p.idle[at].Alive() {
+			p.evict(at, p.target.counters.trimmed)
+		}
+	}
+	for p.open > p.limit {
+		at, ok := conncache.Victim(p.view())
+		if !ok {
+			break
+		}
+		p.evict(at, p.target.counters.trimmed)
+	}
+	p.dialIfNeeded(0)
+	if now.Sub(p.fullAt) > fullMemory {
+		return
+	}
+	surplus := conncache.Release(p.view(), p.base)
+	slices.SortFunc(surplus, func(a, b int) int { return b - a })
+	for _, at := range surplus {
+		if now.Sub(p.idle[at].idleSince) > surplusIdleTimeout {
+			p.evict(at, p.target.counters.trimmed)
+		}
 	}
 }
 
@@ -664,6 +737,22 @@
 	p.failWaiters(func(*waiter) bool { return true })
 }
 
+// OpeningCost returns by how much longer a statement of a tenant is expected to take because
+// it finds no idle connection of the tenant, 0 if there is one. It includes the time to open
+// another connection again that is closed for it. Without SetKeepIdle it is 0.
+func (p *Pool) OpeningCost(tenant string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.keepIdle || slices.ContainsFunc(p.idle, func(c *PooledConn) bool { return c.tenant == tenant }) {
+		return 0
+	}
+	room := p.open < p.limit && !p.backsOff(tenant, time.Now())
+	if own := p.tenants[tenant]; room || own.open > own.pinned {
+		return p.openTime
+	}
+	return 2 * p.openTime
+}
+
 // Full reports whether the target had no room for another connection within the last
 // fullBackoff.
 func (p *Pool) Full() bool {
--- a/internal/backend/pool_tenant_test.go
+++ b/internal/backend/pool_tenant_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
@@ -315,6 +316,30 @@
 			p.Release(good)
 			So(<-verdicts["bad"], ShouldEqual, Unreachable)
 			So(time.Since(began), ShouldBeLessThan, time.Second)
+			var refused *RefusedError
+			if errors.As(err, &refused) {
+				So(p.target.State(boottime.Now()).FailingFor, ShouldEqual, 0)
+			}
 		})
 	}
 }
+
+// Guards against a target that counts as failing because its health can't be checked while
+// all connections wait for answers and the target has lately had no room.
+func TestControlAfterFullTarget(t *testing.T) {
+	Convey("A control statement opens a connection as soon as the backoff without tenants ends", t, func() {
+		d := &tenantDialer{limit: 1, handshake: time.Millisecond}
+		p := newTenantPool(d, 2)
+		_, verdict := p.AcquireFor("a", 1, 0, time.Now().Add(time.Second))
+		So(verdict, ShouldEqual, Acquired)
+		_, verdict = p.AcquireFor("b", 1, 0, time.Now().Add(20*time.Millisecond))
+		So(verdict, ShouldEqual, TimedOut)
+		So(p.Full(), ShouldBeTrue)
+		d.mu.Lock()
+		d.limit = 3
+		d.mu.Unlock()
+		c, verdict := p.AcquireControl(time.Now().Add(controlTimeout))
+		So(verdict, ShouldEqual, Acquired)
+		So(connOf(c).tenant, ShouldEqual, "")
+	})
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -144,13 +144,14 @@
 	return g
 }
 
-// Declare applies the limits of the groups of a configuration.
+// Declare applies the limits of the groups of a configuration, and whether it has tenants.
 func (r *Registry) Declare(c *catalog.Configuration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, limits := range c.Groups {
 		g := r.groupLocked(name)
 		g.limits.Store(&limits)
+		g.tenants.Store(c.Tenants != nil)
 		g.applyLimits()
 	}
 }
--- a/internal/conncache/conncache.go
+++ b/internal/conncache/conncache.go
@@ -68,16 +68,15 @@
 	Victim int
 }
 
-// Decide returns what to do for a request of a tenant that has no idle connection. A
-// request does not wait for a connection of its own tenant while an idle one of another
+// Decide returns what to do for a request whose tenant has no idle connection. A request does not wait for a connection of its own tenant while an idle one of another
 // can be closed: in trials with 7 to 60 requests per second on 11 connections, that would
 // have saved 2 to 9 percent of the openings and lengthened the mean wait by 2 to 13
 // percent.
-func Decide(v View, tenant string) Decision {
+func Decide(v View) Decision {
 	if !v.Full && len(v.Connections) < v.Limit {
 		return Decision{Action: Open}
 	}
-	if victim, ok := Victim(v, tenant); ok {
+	if victim, ok := Victim(v); ok {
 		return Decision{Action: Evict, Victim: victim}
 	}
 	return Decision{Action: Wait}
@@ -89,19 +88,18 @@
 // ratio costs hits where rates differ.
 const similarDemand = 1.5
 
-// Victim returns the index of the idle connection to close for a request of a tenant, and
-// false if there is none.
+// Victim returns the index of the idle connection to close, and false if there is none.
 //
 // It is the second idle connection of a tenant, or else that of the tenant with the least
 // demand for each of its connections. Among tenants with about the least demand it is the
 // connection that was used last: the one used longest ago is that of the tenant that
 // comes next if tenants take turns, and as good as any other if they come at random.
-func Victim(v View, tenant string) (int, bool) {
+func Victim(v View) (int, bool) {
 	tenants := summarize(v)
 	candidates := make([]int, 0, len(v.Connections))
 	surplus := false
 	for i, c := range v.Connections {
-		if c.State != Idle || c.Tenant == tenant {
+		if c.State != Idle {
 			continue
 		}
 		second := tenants[c.Tenant].idle > 1
--- a/internal/conncache/conncache_test.go
+++ b/internal/conncache/conncache_test.go
@@ -49,7 +49,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				c.view.Demand = demand
-				d := Decide(c.view, "new")
+				d := Decide(c.view)
 				So(d.Action, ShouldEqual, c.want)
 				So(d.Victim, ShouldEqual, c.close)
 			})
--- a/internal/conncache/load_test.go
+++ b/internal/conncache/load_test.go
@@ -88,7 +88,7 @@
 			v.Connections[at].UsedAt = r.at
 			continue
 		}
-		if d := Decide(v, r.tenant); d.Action == Evict {
+		if d := Decide(v); d.Action == Evict {
 			v.Connections = slices.Delete(v.Connections, d.Victim, d.Victim+1)
 		}
 		openings++
