Send reads of a tenant where a connection of it is open

A read that finds no connection of its tenant waits for one to be opened and takes 12 ms of a slot. The placement of reads now adds the measured time of opening a connection, twice where another tenant's has to be closed for it. The leader gets the highest of these costs, so that a connection that a tenant has there for its writes does not draw its reads. Without tenants nothing changes.

--- a/internal/executor/placement.go
+++ b/internal/executor/placement.go
@@ -23,11 +23,14 @@
 	Running      int
 	ExpectedWait time.Duration
 	Latency      time.Duration
-	Cold         bool
-	FailingFor   time.Duration
-	SilentFor    time.Duration
-	Applied      position.Position
-	Lag          time.Duration
+	// Opening is the time that it costs to open a connection for the tenant of the read, 0
+	// if one is open.
+	Opening    time.Duration
+	Cold       bool
+	FailingFor time.Duration
+	SilentFor  time.Duration
+	Applied    position.Position
+	Lag        time.Duration
 	// Behind reports whether the target has just answered that it lacks a position as old
 	// as the required one.
 	Behind bool
@@ -90,7 +93,7 @@
 	if c.Cold {
 		latency *= coldLatencyFactor
 	}
-	cost := latency + c.ExpectedWait + latency*time.Duration(c.Running)/time.Duration(max(c.Slots, 1))
+	cost := latency + c.ExpectedWait + c.Opening + latency*time.Duration(c.Running)/time.Duration(max(c.Slots, 1))
 	switch c.Distance {
 	case 1:
 		cost += crossDomainCost
--- a/internal/executor/placement_test.go
+++ b/internal/executor/placement_test.go
@@ -44,3 +44,35 @@
 		}
 	})
 }
+
+// Guards against reads of a tenant that go to a target where a connection has to be opened,
+// which takes time of a slot, while another target has an idle one.
+func TestRankCandidatesWithTenants(t *testing.T) {
+	const opening = 15 * time.Millisecond
+	leader := Candidate{Index: 0, Distance: 0, Slots: 3, Latency: 25 * time.Millisecond, Leader: true}
+	local := Candidate{Index: 1, Distance: 0, Slots: 3, Latency: 25 * time.Millisecond}
+	near := Candidate{Index: 2, Distance: 1, Slots: 3, Latency: 25 * time.Millisecond}
+	opens := func(c Candidate, cost time.Duration) Candidate {
+		c.Opening = cost
+		return c
+	}
+	cases := []struct {
+		name       string
+		candidates []Candidate
+		want       []int
+	}{
+		{"a replica with a connection ranks before a closer one without", []Candidate{opens(local, opening), near}, []int{2, 1}},
+		{"a replica with room ranks before a closer one where a connection has to be closed", []Candidate{opens(local, 2*opening), opens(near, opening)}, []int{2, 1}},
+		{"among replicas with a connection, the closer one comes first", []Candidate{near, local}, []int{1, 2}},
+		{"a replica with a connection and a queue ranks behind one without", []Candidate{opens(local, opening), opens(Candidate{Index: 2, Distance: 0, Slots: 3, Latency: 25 * time.Millisecond, ExpectedWait: 100 * time.Millisecond}, 0)}, []int{1, 2}},
+		{"the leader's connection does not draw reads there", []Candidate{leader, opens(local, opening)}, []int{1, 0}},
+	}
+	Convey("The time to open a connection counts", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				equalizeLeaderOpening(c.candidates)
+				So(RankCandidates(c.candidates, Requirement{}), ShouldResemble, c.want)
+			})
+		}
+	})
+}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -149,13 +149,29 @@
 		candidates[i] = Candidate{
 			Index: i, Leader: leader != nil && leader.Target == t, Draining: info.Draining,
 			Distance: r.group.Locality.Distance(info.FailureDomain), Slots: info.Slots, Running: state.Running, ExpectedWait: t.Gate.ExpectedWait(),
-			Latency: state.Latency, Cold: info.RemainingWarmUp > 0, FailingFor: state.FailingFor, SilentFor: state.SilentFor,
+			Latency: state.Latency, Opening: t.Pool.OpeningCost(r.unit.header.Tenant), Cold: info.RemainingWarmUp > 0, FailingFor: state.FailingFor, SilentFor: state.SilentFor,
 			Applied: state.Applied, Lag: state.Lag, Behind: (leader == nil || leader.Target != t) && t.LacksPosition(required.Age, now),
 		}
 	}
+	equalizeLeaderOpening(candidates)
 	var out []*backend.Target
 	for _, i := range RankCandidates(candidates, required) {
 		out = append(out, targets[i])
 	}
 	return out
 }
+
+// equalizeLeaderOpening gives the leader the highest cost of opening of all candidates, so
+// that a connection that a tenant has at the leader for its writes does not draw its reads
+// there.
+func equalizeLeaderOpening(candidates []Candidate) {
+	highest := time.Duration(0)
+	for _, c := range candidates {
+		highest = max(highest, c.Opening)
+	}
+	for i := range candidates {
+		if candidates[i].Leader {
+			candidates[i].Opening = highest
+		}
+	}
+}
