--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -122,6 +122,7 @@
 	replaceAt      time.Time            // guarded by mu
 	tenantRedialAt map[string]time.Time // guarded by mu; end of the backoff of a tenant whose dial failed
 	fullAt         time.Time            // guarded by mu; when the target last had no room
+	refusedLast    bool                 // guarded by mu; set if the target had no room for the last connection dialed
 	keepIdle       bool                 // guarded by mu; set if idle connections are kept as a cache of those of tenants
 	tenanted       bool                 // guarded by mu; set once a request has had a tenant
 	closed         bool                 // guarded by mu
@@ -401,7 +402,7 @@
 	}
 	now := time.Now()
 	for _, tenant := range p.undialed() {
-		if p.dialing >= max(p.open-p.dialing, 1) {
+		if p.dialing >= p.maxDials(p.open-p.dialing) {
 			return
 		}
 		limit := p.limit
@@ -412,6 +413,16 @@
 	}
 }
 
+// maxDials returns how many dials may run at once with a number of established connections.
+// With tenants it is one from a refusal for want of room until the next success, so that a
+// target that stays full refuses one dial per backoff. p.mu must be held.
+func (p *Pool) maxDials(established int) int {
+	if p.tenanted && p.refusedLast {
+		return 1
+	}
+	return max(established, 1)
+}
+
 // undialed returns the tenants of the waiting requests for which no dial is running, in the
 // order in which to dial. Tenants over their share come last. p.mu must be held.
 func (p *Pool) undialed() []string {
@@ -494,6 +505,7 @@
 		return
 	}
 	p.target.markAnswering()
+	p.refusedLast = false
 	p.openTime += time.Duration(openTimeWeight * float64(time.Since(began)-p.openTime))
 	p.deliver(c, foundDialed)
 	p.dialIfNeeded(0)
@@ -545,6 +557,7 @@
 		backoff = firstBackoff
 	}
 	now := time.Now()
+	p.refusedLast = true
 	p.fullAt, p.fullUntil, p.growAt = now, now.Add(fullBackoff), now.Add(growBackoff)
 	if !replacing {
 		p.redialAt = now.Add(backoff)
@@ -616,7 +629,7 @@
 func (p *Pool) yield(c *PooledConn) bool {
 	own := slices.IndexFunc(p.waiters, func(w *waiter) bool { return w.canUse(c.tenant) })
 	now := time.Now()
-	if own < 0 || !p.tenanted || p.dialing >= max(p.open-1-p.dialing, 1) || now.Before(p.replaceAt) {
+	if own < 0 || !p.tenanted || p.dialing >= p.maxDials(p.open-1-p.dialing) || now.Before(p.replaceAt) {
 		return false
 	}
 	other := p.firstUndialed(c.tenant, now)
