--- a/internal/executor/tenant_test.go
+++ b/internal/executor/tenant_test.go
@@ -70,7 +70,7 @@
 		failed := make(chan string, 4*units)
 		for i := range units {
 			tenant := ""
-			if n := i * i % (tenants + 1); n < tenants {
+			if n := 5 * i % (tenants + 1); n < tenants {
 				tenant = fmt.Sprint("tenant-", n)
 			}
 			h := stmtunit.Header{Session: uint64(i), Tenant: tenant, Route: route}
