Queue the requests of a target fairly between tenants

A tenant that sends more than the others took their slot time: the queue of a target knew deadlines and values only. It now keeps each tenant's recent use of slot time and divides the slot time by max-min fairness. Tenants above their share are served after the others and are refused first, with the reason over_share. Statements of open transactions and connections that transactions hold count as use. While tenants compete, a request must start within half of its objective, and a tenant above its share is refused at once what has less value than requests that were just refused.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -50,11 +51,13 @@
 
 // queuedTicket is a waiting ticket with its defaults applied.
 type queuedTicket struct {
-	id       ID
-	weight   int
-	kind     string
-	cost     time.Duration
-	deadline time.Time
+	id          ID
+	account     *account
+	weight      int
+	kind        string
+	cost        time.Duration
+	deadline    time.Time
+	latestStart time.Time
 }
 
 // Queue admits requests to the slots of one target and holds a bounded number of waiting
@@ -64,8 +67,11 @@
 	running int
 	// tickets holds the waiting tickets by deadline; those with equal deadlines are in the
 	// order of their arrival.
-	tickets      []queuedTicket
+	tickets      []*queuedTicket
 	serviceTimes serviceTimes
+	shares       shares
+	order        []*queuedTicket // buffer of serviceOrder
+	floor        valueFloor
 	// promisedUntil is the time by which all refused requests will have been served if
 	// they return after their retry delay. Each refusal moves it on, so that the callers
 	// don't return all at once.
@@ -79,6 +85,7 @@
 	return &Queue{
 		config:       c,
 		serviceTimes: newServiceTimes(c.ServiceTime),
+		shares:       newShares(),
 	}
 }
 
@@ -112,7 +119,10 @@
 // predicted service time: otherwise one slow request could raise the estimate so far that
 // no request runs any more to correct it.
 func (q *Queue) Offer(now time.Time, t Ticket) Decision {
-	w := queuedTicket{id: t.ID, weight: max(t.Weight, 1), kind: t.Kind, cost: t.Cost, deadline: t.Deadline}
+	w := &queuedTicket{
+		id: t.ID, account: q.shares.account(now, t.Tenant), weight: max(t.Weight, 1), kind: t.Kind, cost: t.Cost,
+		deadline: t.Deadline, latestStart: t.LatestStart,
+	}
 	if w.deadline.IsZero() {
 		w.deadline = now.Add(q.config.Timeout)
 	}
@@ -123,36 +133,43 @@
 		}
 	}
 	if q.running < q.config.Slots && len(q.tickets) == 0 {
-		q.running++
+		q.start(now, w)
 		return Decision{Verdict: Admitted}
 	}
 	q.insert(w)
-	out := q.evict(now)
+	out := q.evict(now, w)
 	return q.decide(now, w.id, out)
 }
 
-// Release frees a slot that a request of the given kind held for the given time, and
-// admits the next tickets. It panics if no ticket is running.
-func (q *Queue) Release(now time.Time, kind string, held time.Duration) Change {
+// Release frees a slot that a request of the given tenant and kind held for the given
+// time, and admits the next tickets. It panics if no ticket is running.
+func (q *Queue) Release(now time.Time, tenant, kind string, held time.Duration) Change {
 	q.serviceTimes.observe(kind, held)
-	return q.Abandon(now)
+	return q.Abandon(now, tenant)
 }
 
-// Abandon frees a slot that was not used, without recording a service time, and admits the
-// next tickets. It panics if no ticket is running.
-func (q *Queue) Abandon(now time.Time) Change {
+// Abandon frees a slot that the given tenant did not use, without recording a service
+// time, and admits the next tickets. It panics if no ticket is running.
+func (q *Queue) Abandon(now time.Time, tenant string) Change {
 	if q.running == 0 {
 		panic("admission: release without a running ticket")
 	}
 	q.running--
+	q.shares.hold(now, tenant, -1)
 	return q.schedule(now)
 }
 
+// ReportUse changes by the given number the slots that a tenant holds outside the queue,
+// such as those of statements that do not queue. They count as its use.
+func (q *Queue) ReportUse(now time.Time, tenant string, slots float64) {
+	q.shares.hold(now, tenant, slots)
+}
+
 // Cancel removes a waiting ticket and reports whether it was waiting.
 func (q *Queue) Cancel(id ID) bool {
-	for i := range q.tickets {
-		if q.tickets[i].id == id {
-			q.removeAt(i)
+	for _, w := range q.tickets {
+		if w.id == id {
+			q.remove(w)
 			return true
 		}
 	}
@@ -177,7 +194,29 @@
 	if len(q.tickets) == 0 {
 		return time.Time{}, false
 	}
-	return q.tickets[0].deadline.Add(-q.serviceTimes.expected(q.tickets[0].kind)), true
+	first := q.expiry(q.tickets[0])
+	if q.shares.competing() {
+		for _, w := range q.tickets {
+			if at := q.expiry(w); at.Before(first) {
+				first = at
+			}
+		}
+	}
+	return first, true
+}
+
+// expiry returns the latest time at which w can be admitted.
+func (q *Queue) expiry(w *queuedTicket) time.Time {
+	at := w.deadline.Add(-q.serviceTimes.expected(w.kind))
+	if q.limitsStart(w) && w.latestStart.Before(at) {
+		return w.latestStart
+	}
+	return at
+}
+
+// limitsStart reports whether the latest start of w applies.
+func (q *Queue) limitsStart(w *queuedTicket) bool {
+	return q.shares.competing() && !w.latestStart.IsZero()
 }
 
 // Drain refuses all waiting tickets with reason r.
@@ -185,7 +224,9 @@
 	var refused []Refusal
 	for _, w := range q.tickets {
 		refused = append(refused, Refusal{ID: w.id, Outcome: q.refuse(now, r)})
+		w.account.waiting--
 	}
+	clear(q.tickets)
 	q.tickets = q.tickets[:0]
 	return refused
 }
@@ -194,79 +235,186 @@
 // slots.
 func (q *Queue) schedule(now time.Time) Change {
 	var c Change
-	for len(q.tickets) > 0 && q.missesDeadline(now, q.tickets[0]) {
-		c.Refused = append(c.Refused, Refusal{ID: q.tickets[0].id, Outcome: q.refuse(now, outcome.TooLate)})
-		q.removeAt(0)
+	if len(q.tickets) == 0 {
+		return c
 	}
-	for q.running < q.config.Slots && len(q.tickets) > 0 {
-		w := q.tickets[0]
-		q.removeAt(0)
+	order := q.serviceOrder(now)
+	if q.shares.competing() {
+		for _, w := range order {
+			if q.missesDeadline(now, w) {
+				c.Refused = append(c.Refused, q.refuseLate(now, w))
+				q.remove(w)
+			}
+		}
+		order = q.serviceOrder(now)
+	}
+	for len(order) > 0 && q.missesDeadline(now, order[0]) {
+		c.Refused = append(c.Refused, q.refuseLate(now, order[0]))
+		q.remove(order[0])
+		order = order[1:]
+	}
+	for q.running < q.config.Slots && len(order) > 0 {
+		w := order[0]
+		order = order[1:]
+		q.remove(w)
 		if q.missesDeadline(now, w) {
-			c.Refused = append(c.Refused, Refusal{ID: w.id, Outcome: q.refuse(now, outcome.TooLate)})
+			c.Refused = append(c.Refused, q.refuseLate(now, w))
 			continue
 		}
-		q.running++
+		q.start(now, w)
 		c.Admitted = append(c.Admitted, w.id)
 	}
 	return c
 }
 
+// start gives w a slot.
+func (q *Queue) start(now time.Time, w *queuedTicket) {
+	q.running++
+	w.account.advance(now)
+	w.account.held++
+}
+
+// refuseLate returns the refusal of w, which would miss its deadline.
+func (q *Queue) refuseLate(now time.Time, w *queuedTicket) Refusal {
+	q.raiseFloor(now, w)
+	return Refusal{ID: w.id, Outcome: q.refuse(now, q.reason(w, outcome.TooLate))}
+}
+
+// raiseFloor excludes requests of lower value than w, which is refused, if its tenant is
+// above its share. Tenants within their share don't give way to those above it.
+func (q *Queue) raiseFloor(now time.Time, w *queuedTicket) {
+	if q.shares.competing() && w.account.overShare {
+		q.floor.raise(now, q.weightPerCost(w))
+	}
+}
+
+// reason returns the reason for the refusal of w: OverShare if its tenant is above its
+// share, and otherwise the given one.
+func (q *Queue) reason(w *queuedTicket, otherwise outcome.Reason) outcome.Reason {
+	if q.shares.competing() && w.account.overShare {
+		return outcome.OverShare
+	}
+	return otherwise
+}
+
+// serviceOrder returns the waiting tickets in the order in which they are to be served. It
+// is that of the deadlines, except that tenants whose use is above their share are served
+// after the others. The result is valid until the next call.
+func (q *Queue) serviceOrder(now time.Time) []*queuedTicket {
+	q.order = q.order[:0]
+	if !q.shares.competing() {
+		q.order = append(q.order, q.tickets...)
+		return q.order
+	}
+	q.shares.assess(now, q.tickets, q.slotTime)
+	for _, w := range q.tickets {
+		if !w.account.servedLast {
+			q.order = append(q.order, w)
+		}
+	}
+	for _, w := range q.tickets {
+		if w.account.servedLast {
+			q.order = append(q.order, w)
+		}
+	}
+	return q.order
+}
+
 // missesDeadline reports whether w would end after its deadline even if it were admitted
 // now.
-func (q *Queue) missesDeadline(now time.Time, w queuedTicket) bool {
-	return now.Add(q.serviceTimes.expected(w.kind)).After(w.deadline)
+func (q *Queue) missesDeadline(now time.Time, w *queuedTicket) bool {
+	return now.After(q.expiry(w))
+}
+
+// predictedLate reports whether w is predicted to miss its deadline if it waits for delay.
+func (q *Queue) predictedLate(now time.Time, w *queuedTicket, delay time.Duration) bool {
+	if q.limitsStart(w) && now.Add(delay).After(w.latestStart) {
+		return true
+	}
+	return now.Add(delay + q.serviceTimes.expected(w.kind) + q.serviceTimes.deviation(w.kind)).After(w.deadline)
 }
 
 // evict removes tickets until the rest is within MaxWaiting and predicted to meet its
-// deadlines. If a ticket is predicted to miss its deadline, the one with the least weight
-// for its cost among it and those before it is removed.
-func (q *Queue) evict(now time.Time) []eviction {
+// deadlines, after the offered ticket was added. If a ticket is predicted to miss its
+// deadline, a victim among it and those before it in the order of service is removed.
+func (q *Queue) evict(now time.Time, offered *queuedTicket) []eviction {
 	var out []eviction
+	order := q.serviceOrder(now)
+	remove := func(i int, reason outcome.Reason) {
+		w := order[i]
+		out = append(out, eviction{ticket: w, reason: q.reason(w, reason)})
+		order = slices.Delete(order, i, i+1)
+		w.account.claim -= q.slotTime(w).Seconds()
+		q.remove(w)
+	}
+	if q.shares.competing() && q.floor.excludes(now, q.weightPerCost(offered)) && q.givesWay(offered, order) {
+		remove(slices.Index(order, offered), outcome.TooLate)
+	}
 	ahead := q.serviceTimes.expected("")
-	for i := 0; i < len(q.tickets); i++ {
-		w := q.tickets[i]
-		expected := q.serviceTimes.expected(w.kind)
+	for i := 0; i < len(order); i++ {
+		w := order[i]
 		delay := ahead / time.Duration(q.parallelism())
 		ahead += q.slotTime(w)
-		if !now.Add(delay + expected + q.serviceTimes.deviation(w.kind)).After(w.deadline) {
+		if !q.predictedLate(now, w, delay) {
 			continue
 		}
-		victim := q.leastValuable(i)
-		ahead -= q.slotTime(q.tickets[victim])
-		out = append(out, eviction{ticket: q.tickets[victim], reason: outcome.TooLate})
-		q.removeAt(victim)
+		victim := q.victim(order[:i+1])
+		ahead -= q.slotTime(order[victim])
+		q.raiseFloor(now, order[victim])
+		remove(victim, outcome.TooLate)
 		i--
 	}
-	for len(q.tickets) > q.config.MaxWaiting {
-		victim := q.leastValuable(len(q.tickets) - 1)
-		out = append(out, eviction{ticket: q.tickets[victim], reason: outcome.QueueFull})
-		q.removeAt(victim)
+	for len(order) > q.config.MaxWaiting {
+		remove(q.victim(order), outcome.QueueFull)
 	}
 	return out
 }
 
 // eviction is a ticket that evict removed, with the reason.
 type eviction struct {
-	ticket queuedTicket
+	ticket *queuedTicket
 	reason outcome.Reason
 }
 
-// leastValuable returns the index of the ticket in tickets[0..last] with the least weight
-// for its cost, and the last one among equals.
-func (q *Queue) leastValuable(last int) int {
-	victim := 0
-	least := q.weightPerCost(0)
-	for i := 1; i <= last; i++ {
-		if d := q.weightPerCost(i); d <= least {
+// victim returns the index of the ticket to remove: the one with the least weight for its
+// cost, and the one with the latest deadline among equals. If any ticket is of a tenant above its share, only
+// those of the tenants that are most above it count.
+func (q *Queue) victim(tickets []*queuedTicket) int {
+	minClaim := q.minClaim(tickets)
+	victim, least := -1, 0.0
+	for i, w := range tickets {
+		if !w.account.claimsAtLeast(minClaim) {
+			continue
+		}
+		d := q.weightPerCost(w)
+		if victim < 0 || d < least || d == least && !w.deadline.Before(tickets[victim].deadline) {
 			victim, least = i, d
 		}
 	}
 	return victim
 }
 
-// weightPerCost returns the weight of the ticket at index i per nanosecond of its cost.
-func (q *Queue) weightPerCost(i int) float64 {
-	w := q.tickets[i]
+// givesWay reports whether w is of one of the tenants that are most above their share.
+func (q *Queue) givesWay(w *queuedTicket, tickets []*queuedTicket) bool {
+	return w.account.overShare && w.account.claimsAtLeast(q.minClaim(tickets))
+}
+
+// minClaim returns the least claim of the tenants that are most above their share. It is 0
+// if no ticket is of a tenant above its share.
+func (q *Queue) minClaim(tickets []*queuedTicket) float64 {
+	largest := 0.0
+	if q.shares.competing() {
+		for _, w := range tickets {
+			if w.account.overShare {
+				largest = max(largest, w.account.claim)
+			}
+		}
+	}
+	return largest * (1 - claimTolerance)
+}
+
+// weightPerCost returns the weight of w per nanosecond of its cost.
+func (q *Queue) weightPerCost(w *queuedTicket) float64 {
 	cost := w.cost
 	if cost <= 0 {
 		cost = q.serviceTimes.expected(w.kind)
@@ -301,7 +449,7 @@
 }
 
 // slotTime returns how long w is expected to delay the tickets behind it on a slot.
-func (q *Queue) slotTime(w queuedTicket) time.Duration {
+func (q *Queue) slotTime(w *queuedTicket) time.Duration {
 	return max(w.cost, q.serviceTimes.expected(w.kind))
 }
 
@@ -327,15 +475,17 @@
 }
 
 // insert adds w behind the tickets whose deadline is not later.
-func (q *Queue) insert(w queuedTicket) {
+func (q *Queue) insert(w *queuedTicket) {
 	i := sort.Search(len(q.tickets), func(i int) bool {
 		return q.tickets[i].deadline.After(w.deadline)
 	})
-	q.tickets = append(q.tickets, queuedTicket{})
-	copy(q.tickets[i+1:], q.tickets[i:])
-	q.tickets[i] = w
+	q.tickets = slices.Insert(q.tickets, i, w)
+	w.account.waiting++
 }
 
-func (q *Queue) removeAt(i int) {
-	q.tickets = append(q.tickets[:i], q.tickets[i+1:]...)
+// remove removes the waiting ticket w.
+func (q *Queue) remove(w *queuedTicket) {
+	i := slices.Index(q.tickets, w)
+	q.tickets = slices.Delete(q.tickets, i, i+1)
+	w.account.waiting--
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -23,7 +23,7 @@
 		q := NewQueue(config)
 		So(q.Offer(at(0), Ticket{ID: 1}).Verdict, ShouldEqual, Admitted)
 		So(q.Offer(at(0), Ticket{ID: 2}).Verdict, ShouldEqual, Queued)
-		So(q.Release(at(10), "", 10*time.Millisecond).Admitted, ShouldResemble, []ID{2})
+		So(q.Release(at(10), "", "", 10*time.Millisecond).Admitted, ShouldResemble, []ID{2})
 	})
 
 	Convey("The ticket with the earliest deadline runs first", t, func() {
@@ -31,7 +31,7 @@
 		q.Offer(at(0), Ticket{ID: 1})
 		q.Offer(at(0), Ticket{ID: 2, Deadline: at(200)})
 		q.Offer(at(0), Ticket{ID: 3, Deadline: at(100)})
-		So(q.Release(at(10), "", 10*time.Millisecond).Admitted, ShouldResemble, []ID{3})
+		So(q.Release(at(10), "", "", 10*time.Millisecond).Admitted, ShouldResemble, []ID{3})
 	})
 
 	Convey("A request that can't meet its deadline is refused at once", t, func() {
@@ -86,7 +86,7 @@
 	Convey("One slow request does not block the queue permanently", t, func() {
 		q := NewQueue(config)
 		q.Offer(at(0), Ticket{ID: 1})
-		q.Release(at(60_000), "", time.Minute)
+		q.Release(at(60_000), "", "", time.Minute)
 		d := q.Offer(at(60_000), Ticket{ID: 2, Deadline: at(60_050)})
 		So(d.Verdict, ShouldEqual, Admitted)
 	})
@@ -94,9 +94,9 @@
 	Convey("Among requests of equal weight, the one with the longest service time is evicted", t, func() {
 		q := NewQueue(config)
 		q.Offer(at(0), Ticket{ID: 1, Kind: "long"})
-		q.Release(at(40), "long", 40*time.Millisecond)
+		q.Release(at(40), "", "long", 40*time.Millisecond)
 		q.Offer(at(40), Ticket{ID: 2, Kind: "short"})
-		q.Release(at(50), "short", 10*time.Millisecond)
+		q.Release(at(50), "", "short", 10*time.Millisecond)
 		q.Offer(at(50), Ticket{ID: 3, Kind: "short"})
 		So(q.Offer(at(50), Ticket{ID: 4, Kind: "long", Deadline: at(110)}).Verdict, ShouldEqual, Queued)
 		d := q.Offer(at(50), Ticket{ID: 5, Kind: "short", Deadline: at(90)})
@@ -110,7 +110,7 @@
 		q.Offer(at(0), Ticket{ID: 1})
 		q.Offer(at(0), Ticket{ID: 2})
 		So(q.Resize(at(1), 0).Admitted, ShouldBeEmpty)
-		So(q.Release(at(2), "", time.Millisecond).Admitted, ShouldBeEmpty)
+		So(q.Release(at(2), "", "", time.Millisecond).Admitted, ShouldBeEmpty)
 		So(q.Resize(at(3), 2).Admitted, ShouldResemble, []ID{2})
 	})
 }
@@ -163,7 +163,7 @@
 						delete(running, id)
 						break
 					}
-					apply(q.Release(now, "", 10*time.Millisecond))
+					apply(q.Release(now, "", "", 10*time.Millisecond))
 				}
 			case 3:
 				apply(q.Expire(now))
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -12,6 +12,9 @@
 // Ticket is a request for one slot.
 type Ticket struct {
 	ID ID
+	// Tenant is the tenant whose slot time the request uses; empty for none, which counts
+	// as a tenant of its own.
+	Tenant string
 	// Weight is the value of serving the request in time. Values below 1 count as 1.
 	Weight int
 	// Kind names the class of requests that share a service time estimate, such as those
@@ -24,6 +27,9 @@
 	// Deadline is the latest useful end of the service. If it is zero, Config.Timeout
 	// applies.
 	Deadline time.Time
+	// LatestStart is the latest time at which the request may get its slot. It applies
+	// only while several tenants compete; zero means no limit.
+	LatestStart time.Time
 }
 
 // Verdict is the decision on an offered ticket.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -61,6 +61,8 @@
 	// pinned reports whether a transaction holds the connection until it ends. It is
 	// guarded by the mutex of the pool.
 	pinned bool
+	// pinnedBy is the tenant of that transaction.
+	pinnedBy string
 }
 
 // Target returns the target that the connection is open to.
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/admission"
+	"github.com/laburnumrack/laburnumrack/internal/outcome"
 )
 
 // Limits of a gate.
@@ -28,6 +29,10 @@
 	// initialServiceTime is the assumed service time of a statement until one has been
 	// measured.
 	initialServiceTime = 25 * time.Millisecond
+	// pinnedConnectionUse is the use, in slots, of a connection that a transaction holds.
+	// A daemon has about two connections per slot, 11 for 4 to 6 slots, so a tenant that
+	// holds all of them uses the whole target.
+	pinnedConnectionUse = 0.5
 )
 
 // Gate limits the number of statements that one daemon runs on a target at once. Its
@@ -36,16 +41,16 @@
 // that the queue of the target is full. A gate is safe for concurrent use.
 type Gate struct {
 	mu             sync.Mutex
-	queue          *admission.Queue                        // guarded by mu
-	waiting        map[admission.ID]chan admission.Verdict // guarded by mu
-	lastRetryAfter time.Duration                           // guarded by mu; returned with the last refusal
-	slots          int                                     // guarded by mu; minimum of limit
-	minServiceTime map[string]time.Duration                // guarded by mu; by kind of request
-	limit          int                                     // guarded by mu; statements that may run at once
-	maxLimit       int                                     // guarded by mu; maximum of limit
-	forced         int                                     // guarded by mu; running statements of open transactions, which have no ticket
-	connections    int                                     // guarded by mu; connections that are not pinned by transactions
-	limitChangedAt time.Time                               // guarded by mu
+	queue          *admission.Queue                      // guarded by mu
+	waiting        map[admission.ID]chan outcome.Outcome // guarded by mu
+	lastRetryAfter time.Duration                         // guarded by mu; returned with the last refusal
+	slots          int                                   // guarded by mu; minimum of limit
+	minServiceTime map[string]time.Duration              // guarded by mu; by kind of request
+	limit          int                                   // guarded by mu; statements that may run at once
+	maxLimit       int                                   // guarded by mu; maximum of limit
+	forced         int                                   // guarded by mu; running statements of open transactions, which have no ticket
+	connections    int                                   // guarded by mu; connections that are not pinned by transactions
+	limitChangedAt time.Time                             // guarded by mu
 }
 
 // lastTicketID is the ID of the last ticket of any gate.
@@ -57,12 +62,14 @@
 	slots = max(slots, 1)
 	return &Gate{
 		queue:   admission.NewQueue(admission.Config{Slots: slots, MaxWaiting: maxGateWaiting, ServiceTime: initialServiceTime}),
-		waiting: make(map[admission.ID]chan admission.Verdict), minServiceTime: make(map[string]time.Duration), slots: slots, limit: slots, maxLimit: slots, connections: math.MaxInt,
+		waiting: make(map[admission.ID]chan outcome.Outcome), minServiceTime: make(map[string]time.Duration), slots: slots, limit: slots, maxLimit: slots, connections: math.MaxInt,
 	}
 }
 
 // Request describes a statement that asks a gate for a place.
 type Request struct {
+	// Tenant is the tenant whose slot time the statement uses; empty for none.
+	Tenant string
 	// Kind groups requests that have similar service times.
 	Kind string
 	// Weight is the value of serving the request.
@@ -72,63 +79,64 @@
 	Statements float64
 	// Deadline is the latest time at which the answer is of use.
 	Deadline time.Time
+	// LatestStart is the latest time at which the statement may start while several
+	// tenants compete for the target; zero means no limit.
+	LatestStart time.Time
 }
 
 // Enter waits for a place. If the request cannot be served in time, Enter reports false
-// and the time after which to retry.
-func (g *Gate) Enter(r Request) (retryAfter time.Duration, ok bool) {
+// and the refusal, with its reason and the time after which to retry.
+func (g *Gate) Enter(r Request) (refusal outcome.Outcome, ok bool) {
 	now := time.Now()
 	g.mu.Lock()
 	g.grow(now)
 	id := admission.ID(lastTicketID.Add(1))
-	d := g.queue.Offer(now, admission.Ticket{ID: id, Weight: r.Weight, Kind: r.Kind, Cost: g.cost(r), Deadline: r.Deadline})
+	d := g.queue.Offer(now, admission.Ticket{
+		ID: id, Tenant: r.Tenant, Weight: r.Weight, Kind: r.Kind, Cost: g.cost(r), Deadline: r.Deadline, LatestStart: r.LatestStart,
+	})
 	g.notifyRefused(d.Evicted)
 	switch d.Verdict {
 	case admission.Admitted:
 		g.mu.Unlock()
-		return 0, true
+		return outcome.Outcome{}, true
 	case admission.Refused:
 		g.mu.Unlock()
-		return d.Outcome.RetryAfter, false
+		return d.Outcome, false
 	}
-	verdict := make(chan admission.Verdict, 1)
-	g.waiting[id] = verdict
+	decided := make(chan outcome.Outcome, 1)
+	g.waiting[id] = decided
 	g.mu.Unlock()
-	return g.awaitVerdict(id, verdict, r.Deadline)
+	o := g.awaitDecision(id, decided, r.Deadline)
+	return o, o.OK()
 }
 
-// awaitVerdict waits for the verdict on a queued request, until its deadline.
-func (g *Gate) awaitVerdict(id admission.ID, verdict chan admission.Verdict, deadline time.Time) (time.Duration, bool) {
+// awaitDecision waits for the decision on a queued request, until its deadline. It returns
+// the refusal, or a zero outcome if the request was admitted.
+func (g *Gate) awaitDecision(id admission.ID, decided chan outcome.Outcome, deadline time.Time) outcome.Outcome {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
-	var v admission.Verdict
 	select {
-	case v = <-verdict:
+	case o := <-decided:
+		return o
 	case <-timer.C:
 		g.mu.Lock()
 		if g.queue.Cancel(id) {
 			delete(g.waiting, id)
 			retryAfter := g.lastRetryAfter
 			g.mu.Unlock()
-			return retryAfter, false
+			return outcome.Refuse(outcome.TooLate, retryAfter, "the deadline passed in the queue")
 		}
 		g.mu.Unlock()
-		v = <-verdict
+		return <-decided
 	}
-	if v == admission.Admitted {
-		return 0, true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.lastRetryAfter, false
 }
 
-// Leave releases a place after a statement of a kind that took the given time.
-func (g *Gate) Leave(kind string, took time.Duration) {
+// Leave releases a place after a statement of a tenant and kind that took the given time.
+func (g *Gate) Leave(tenant, kind string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.updateMinServiceTime(kind, took)
-	g.applyChange(g.queue.Release(time.Now(), kind, took))
+	g.applyChange(g.queue.Release(time.Now(), tenant, kind, took))
 }
 
 // updateMinServiceTime updates the minimum service time of a kind. The minimum
@@ -153,28 +161,47 @@
 	return time.Duration(float64(minTime) * max(r.Statements, 1))
 }
 
-// Abandon releases a place in which no statement ran.
-func (g *Gate) Abandon() {
+// Abandon releases a place of a tenant in which no statement ran.
+func (g *Gate) Abandon(tenant string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyChange(g.queue.Abandon(time.Now()))
+	g.applyChange(g.queue.Abandon(time.Now(), tenant))
 }
 
-// EnterForced takes a place for a statement of an open transaction, ahead of all waiting
-// requests.
-func (g *Gate) EnterForced() {
+// EnterForced takes a place for a statement of an open transaction of a tenant, ahead of
+// all waiting requests. It counts as use of the tenant.
+func (g *Gate) EnterForced(tenant string) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forced++
-	g.resizeQueue(time.Now())
+	g.queue.ReportUse(now, tenant, 1)
+	g.resizeQueue(now)
 }
 
 // LeaveForced releases a place taken by EnterForced.
-func (g *Gate) LeaveForced() {
+func (g *Gate) LeaveForced(tenant string) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forced--
-	g.resizeQueue(time.Now())
+	g.queue.ReportUse(now, tenant, -1)
+	g.resizeQueue(now)
+}
+
+// connectionPinned counts a connection that a transaction of a tenant holds as use of the
+// tenant.
+func (g *Gate) connectionPinned(tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.ReportUse(time.Now(), tenant, pinnedConnectionUse)
+}
+
+// connectionUnpinned ends the use that connectionPinned reported.
+func (g *Gate) connectionUnpinned(tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.ReportUse(time.Now(), tenant, -pinnedConnectionUse)
 }
 
 // ReportBusy lowers the limit, not below the slots, after the target answered that it is
@@ -241,7 +268,7 @@
 // held.
 func (g *Gate) applyChange(c admission.Change) {
 	for _, id := range c.Admitted {
-		g.waiting[id] <- admission.Admitted
+		g.waiting[id] <- outcome.Outcome{}
 		delete(g.waiting, id)
 	}
 	g.notifyRefused(c.Refused)
@@ -252,7 +279,7 @@
 func (g *Gate) notifyRefused(refused []admission.Refusal) {
 	for _, r := range refused {
 		g.lastRetryAfter = r.Outcome.RetryAfter
-		g.waiting[r.ID] <- admission.Refused
+		g.waiting[r.ID] <- r.Outcome
 		delete(g.waiting, r.ID)
 	}
 }
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/laburnumrack/laburnumrack/internal/outcome"
 )
 
 // offerLoad sends n requests through a gate, one per interval, to a target that runs as
@@ -31,7 +33,7 @@
 			target <- struct{}{}
 			time.Sleep(serviceTime)
 			<-target
-			g.Leave("read", time.Since(sent))
+			g.Leave("", "read", time.Since(sent))
 			mu.Lock()
 			defer mu.Unlock()
 			if time.Since(began) <= timeout {
@@ -75,14 +77,14 @@
 			g.Enter(Request{Deadline: farDeadline})
 			close(entered)
 		}()
-		g.EnterForced()
+		g.EnterForced("")
 		select {
 		case <-entered:
 			t.Fatal("a waiting request entered while a forced statement held the place")
 		case <-time.After(20 * time.Millisecond):
 		}
-		g.LeaveForced()
-		g.Leave("", time.Millisecond)
+		g.LeaveForced("")
+		g.Leave("", "", time.Millisecond)
 		<-entered
 	})
 	Convey("Busy answers shrink the limit to the slots, and it grows again without them", t, func() {
@@ -109,7 +111,7 @@
 					peak.Store(max(peak.Load(), running.Add(1)))
 					time.Sleep(time.Millisecond)
 					running.Add(-1)
-					g.Leave("", time.Millisecond)
+					g.Leave("", "", time.Millisecond)
 				}
 			})
 		}
@@ -141,7 +143,7 @@
 		}
 		time.Sleep(2*initialServiceTime - 5*time.Millisecond)
 		for range slots {
-			g.Abandon()
+			g.Abandon("")
 			time.Sleep(500 * time.Microsecond)
 		}
 		wg.Wait()
@@ -149,3 +151,78 @@
 		So(g.waiting, ShouldBeEmpty)
 	})
 }
+
+// Guards against a tenant that takes the slots of the others with statements of open
+// transactions or with idle transactions, neither of which queue.
+func TestGateCountsTransactions(t *testing.T) {
+	const length = 300 * time.Millisecond
+	deadline := time.Now().Add(time.Hour)
+	// firstServed returns the tenant that is served first after both have queued, the
+	// request of the tenant with transactions having the earlier deadline.
+	firstServed := func(g *Gate) string {
+		served := make(chan string, 2)
+		enter := func(tenant string, deadline time.Time) {
+			if _, ok := g.Enter(Request{Tenant: tenant, Deadline: deadline}); ok {
+				served <- tenant
+				g.Abandon(tenant)
+			}
+		}
+		go enter("transactions", deadline.Add(-time.Minute))
+		go enter("single", deadline)
+		for waiting := 0; waiting < 2; time.Sleep(time.Millisecond) {
+			g.mu.Lock()
+			waiting = g.queue.Waiting()
+			g.mu.Unlock()
+		}
+		g.Leave("single", "", time.Millisecond)
+		return <-served
+	}
+	Convey("Statements of open transactions and pinned connections are use of their tenant", t, func() {
+		for name, use := range map[string]func(g *Gate){
+			"statements":  func(g *Gate) { g.EnterForced("transactions") },
+			"connections": func(g *Gate) { g.connectionPinned("transactions"); g.connectionPinned("transactions") },
+			"none":        func(*Gate) {},
+		} {
+			g := newGate(2)
+			use(g)
+			if name != "statements" {
+				g.SetConnections(1)
+			}
+			// Both tenants run single statements for equally long.
+			_, ok := g.Enter(Request{Tenant: "transactions", Deadline: deadline})
+			So(ok, ShouldBeTrue)
+			time.Sleep(length)
+			g.Leave("transactions", "", time.Millisecond)
+			_, ok = g.Enter(Request{Tenant: "single", Deadline: deadline})
+			So(ok, ShouldBeTrue)
+			time.Sleep(length)
+			first := firstServed(g)
+			if name == "none" {
+				So(first, ShouldEqual, "transactions")
+			} else {
+				So(first, ShouldEqual, "single")
+			}
+		}
+	})
+}
+
+// Guards against refusals that don't tell their cause: a tenant above its share must be
+// told so, with the time after which to retry.
+func TestGateRefusesOverShare(t *testing.T) {
+	Convey("A gate that refuses a tenant above its share says so", t, func() {
+		g := newGate(1)
+		_, ok := g.Enter(Request{Tenant: "large", Deadline: time.Now().Add(time.Hour)})
+		So(ok, ShouldBeTrue)
+		time.Sleep(100 * time.Millisecond)
+		go g.Enter(Request{Tenant: "small", Deadline: time.Now().Add(time.Second)})
+		for waiting := 0; waiting < 1; time.Sleep(time.Millisecond) {
+			g.mu.Lock()
+			waiting = g.queue.Waiting()
+			g.mu.Unlock()
+		}
+		refusal, ok := g.Enter(Request{Tenant: "large", Deadline: time.Now().Add(30 * time.Millisecond)})
+		So(ok, ShouldBeFalse)
+		So(refusal.Reason, ShouldEqual, outcome.OverShare)
+		So(refusal.RetryAfter, ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -101,13 +101,14 @@
 	p.transactions.setLimit(transactionLimit(p.open-p.dialing, p.limit, time.Now().Before(p.fullUntil)))
 }
 
-// Pin marks a lent connection, for which room was reserved, as held by a transaction until
-// the transaction ends.
-func (p *Pool) Pin(c *PooledConn) {
+// Pin marks a lent connection, for which room was reserved, as held by a transaction of
+// the given tenant until the transaction ends.
+func (p *Pool) Pin(c *PooledConn, tenant string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.pinned = true
+	c.pinned, c.pinnedBy = true, tenant
 	p.pinned++
+	p.target.Gate.connectionPinned(tenant)
 	p.updateGate()
 }
 
@@ -116,6 +117,7 @@
 	if c.pinned {
 		c.pinned = false
 		p.pinned--
+		p.target.Gate.connectionUnpinned(c.pinnedBy)
 		p.updateGate()
 		p.transactions.release()
 	}
--- a/internal/backend/transaction_room_test.go
+++ b/internal/backend/transaction_room_test.go
@@ -30,7 +30,7 @@
 					target.Pool.CancelTransaction()
 					return
 				}
-				target.Pool.Pin(c)
+				target.Pool.Pin(c, "")
 				held <- c
 			})
 		}
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -5,6 +5,7 @@
 
 	"github.com/laburnumrack/laburnumrack/internal/backend"
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/outcome"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
 
@@ -43,7 +44,11 @@
 			a := e.refuseNotRun(r, query.Busy, "no_connection")
 			return nil, nil, &a
 		case backend.Overloaded:
-			a := e.refuseNotRun(r, query.Busy, "too_late")
+			reason := "too_late"
+			if r.overShare {
+				reason = "over_share"
+			}
+			a := e.refuseNotRun(r, query.Busy, reason)
 			return nil, nil, &a
 		case backend.NoTransactionRoom:
 			a := e.refuseNotRun(r, query.Busy, "transactions_full")
@@ -80,17 +85,19 @@
 		t.Pool.CancelTransaction()
 		return nil, verdict
 	}
-	t.Pool.Pin(conn)
+	t.Pool.Pin(conn, r.unit.header.Tenant)
 	return conn, verdict
 }
 
 // enterGateAndAcquire waits for admission by the target's gate and then for a connection.
 func (e *Executor) enterGateAndAcquire(r *request, t *backend.Target) (*backend.PooledConn, backend.Verdict) {
-	retryAfter, ok := t.Gate.Enter(backend.Request{
-		Kind: r.gateKind(), Weight: max(1, lowestPriority-r.route.Priority), Statements: e.expectedStatements(r), Deadline: r.answerDeadline(),
+	refusal, ok := t.Gate.Enter(backend.Request{
+		Tenant: r.unit.header.Tenant, Kind: r.gateKind(), Weight: max(1, lowestPriority-r.route.Priority), Statements: e.expectedStatements(r),
+		Deadline: r.answerDeadline(), LatestStart: r.latestStart(),
 	})
+	r.overShare = refusal.Reason == outcome.OverShare
 	if !ok {
-		r.retryAfter = retryAfter
+		r.retryAfter = refusal.RetryAfter
 		return nil, backend.Overloaded
 	}
 	r.gate = t.Gate
@@ -122,7 +129,7 @@
 // leaveGate gives up an admission that was not used. It does nothing if there is none.
 func (r *request) leaveGate() {
 	if r.gate != nil {
-		r.gate.Abandon()
+		r.gate.Abandon(r.unit.header.Tenant)
 		r.gate = nil
 	}
 }
@@ -162,6 +169,16 @@
 	return r.deadline
 }
 
+// latestStart returns the time by which the statement must get to a target while tenants
+// compete. It is zero for routes without an objective.
+func (r *request) latestStart() time.Time {
+	if r.route.Objective <= 0 {
+		return time.Time{}
+	}
+	left := time.Duration(competingQueueShare*float64(r.route.Objective)) - (boottime.Now() - r.arrivedAt)
+	return time.Now().Add(left)
+}
+
 // exchange runs a statement on a connection and records the result in the target's
 // state, gate and metrics. It returns the answer, whether the statement may have been
 // sent, and the error if the connection failed.
@@ -191,14 +208,15 @@
 // transaction does not queue. A Begin occupies no slot and leaves the admission to the
 // statement that follows it.
 func (r *request) enterGate(t *backend.Target, st query.Statement) func(elapsed time.Duration) {
+	tenant := r.unit.header.Tenant
 	switch {
 	case st.Kind == query.Begin:
 		return func(time.Duration) {}
 	case r.gate == t.Gate:
 		r.gate = nil
-		return func(elapsed time.Duration) { t.Gate.Leave(r.gateKind(), elapsed) }
+		return func(elapsed time.Duration) { t.Gate.Leave(tenant, r.gateKind(), elapsed) }
 	default:
-		t.Gate.EnterForced()
-		return func(time.Duration) { t.Gate.LeaveForced() }
+		t.Gate.EnterForced(tenant)
+		return func(time.Duration) { t.Gate.LeaveForced(tenant) }
 	}
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -37,6 +37,10 @@
 	// queueShare is the share of the route's objective that a statement may wait before
 	// it is sent to a target.
 	queueShare = 0.25
+	// competingQueueShare is the share of the route's objective within which a statement
+	// must be sent to a target while tenants compete for it. It leaves time for the other
+	// statements and for a retry, and refuses early what would otherwise wait in vain.
+	competingQueueShare = 0.5
 	// busyRetryDelay is the delay before a retry after a target did not run a statement.
 	busyRetryDelay = 10 * time.Millisecond
 	// maxPositionWait bounds the wait for a refresh of the primary's position.
@@ -70,6 +74,9 @@
 	cutOff bool
 	// retryAfter is the delay before a retry that a gate returned with its last refusal.
 	retryAfter time.Duration
+	// overShare is set if the last gate refused the statement because its tenant was above
+	// its share of the target.
+	overShare bool
 }
 
 // dispatch runs a request in the way that fits its kind and the state of its unit. A
--- a/internal/executor/load_test.go
+++ b/internal/executor/load_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/laburnumrack/laburnumrack/internal/backend"
@@ -346,3 +348,50 @@
 		So(u.Run(write).Answer.OK(), ShouldBeTrue)
 	})
 }
+
+// Guards against a tenant that takes the slots of the others by sending more than its
+// share, and against refusals that don't tell the caller why and when to retry.
+func TestTenantAboveItsShare(t *testing.T) {
+	route := catalog.Route{Database: "db", Group: "g", Consistency: catalog.Current, StatementTimeout: 400 * time.Millisecond, Objective: 400 * time.Millisecond, Priority: 1}
+	Convey("Tenants within their share are served in time while another sends nine times its share", t, func() {
+		target := &fakeTarget{slots: make(chan struct{}, 3), serviceTime: 20 * time.Millisecond}
+		e := newTestExecutor(t, target)
+		counts := map[string]*answerCounts{"large": {other: map[string]int{}}, "small": {other: map[string]int{}}}
+		refusedBefore := metrics.GetOrCreateCounter(`laburnumrack_refused_total{reason="over_share"}`).Get()
+		var messages sync.Map
+		var wg sync.WaitGroup
+		run := func(tenant string, i int) {
+			wg.Go(func() {
+				u := e.Open(stmtunit.Header{Session: uint64(i), Tenant: tenant, Route: route})
+				defer u.Close()
+				start := time.Now()
+				id := fmt.Sprint(tenant, i)
+				r := u.Run(stmtunit.Call{Statement: query.Statement{ID: id, Kind: query.Write, Writes: true}})
+				counts[tenant].add(id, r.Answer, time.Since(start), route.Objective)
+				if r.Answer.Code == query.Busy {
+					messages.Store(strings.TrimRight(r.Answer.Message, "0123456789"), tenant)
+				}
+			})
+		}
+		// The capacity is 150 statements a second. The small tenant sends 42, the large
+		// one 375.
+		const n = 300
+		for i := range n {
+			time.Sleep(8 * time.Millisecond)
+			for k := range 3 {
+				run("large", 3*i+k)
+			}
+			if i%3 == 0 {
+				run("small", 3*n+i)
+			}
+		}
+		wg.Wait()
+		So(counts["small"].inTime, ShouldBeGreaterThanOrEqualTo, n/3*98/100)
+		So(counts["large"].refused, ShouldBeGreaterThan, n)
+		So(counts["large"].inTime, ShouldBeGreaterThan, n*8*3/20*5/10)
+		message := "not run: over_share retry_after_ms="
+		_, told := messages.Load(message)
+		So(told, ShouldBeTrue)
+		So(metrics.GetOrCreateCounter(`laburnumrack_refused_total{reason="over_share"}`).Get()-refusedBefore, ShouldBeGreaterThan, n/2)
+	})
+}
--- a/internal/experiment/intime/load.go
+++ b/internal/experiment/intime/load.go
@@ -49,6 +49,7 @@
 // Job is one request of a simulated load.
 type Job struct {
 	Class  int
+	Tenant string
 	Weight int
 	// Statement identifies the statement of the request. It is known to a policy at
 	// the arrival.
@@ -79,7 +80,11 @@
 // load times the capacity of the slots; a load of 1 is 100%.
 func Generate(seed uint64, mix []Class, slots, count int, load float64) []Job {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	statements := drawStatements(rng, mix)
+	return generate(rng, drawStatements(rng, mix), mix, slots, count, load)
+}
+
+// generate is Generate with given statements.
+func generate(rng *rand.Rand, statements [][]float64, mix []Class, slots, count int, load float64) []Job {
 	mean := 0.0
 	for i, c := range mix {
 		mean += c.Share * float64(c.ServiceTime) * average(statements[i])
@@ -91,7 +96,7 @@
 		now += rng.ExpFloat64() * meanGap
 		class := pickClass(rng, mix)
 		c := mix[class]
-		statement := rng.IntN(statementsPerClass)
+		statement := rng.IntN(len(statements[class]))
 		factor := statements[class][statement] * lognormal(rng, requestSigma)
 		jobs[i] = Job{
 			Class:       class,
--- a/internal/experiment/intime/policy.go
+++ b/internal/experiment/intime/policy.go
@@ -10,7 +10,7 @@
 // Policy decides which requests get a slot. admission.Queue implements it.
 type Policy interface {
 	Offer(now time.Time, t admission.Ticket) admission.Decision
-	Release(now time.Time, kind string, held time.Duration) admission.Change
+	Release(now time.Time, tenant, kind string, held time.Duration) admission.Change
 	Expire(now time.Time) admission.Change
 	NextExpiry() (time.Time, bool)
 }
@@ -80,8 +80,8 @@
 	return u.Queue.Offer(now, t)
 }
 
-func (u withoutStatement) Release(now time.Time, _ string, held time.Duration) admission.Change {
-	return u.Queue.Release(now, "", held)
+func (u withoutStatement) Release(now time.Time, tenant, _ string, held time.Duration) admission.Change {
+	return u.Queue.Release(now, tenant, "", held)
 }
 
 // fifo serves requests in order of arrival. If adaptive is set, limit follows the
@@ -111,7 +111,7 @@
 
 // Release admits the next queued ticket. The order of release does not matter for the
 // limit, so the oldest running ticket is released in place of the one that ended.
-func (f *fifo) Release(now time.Time, _ string, _ time.Duration) admission.Change {
+func (f *fifo) Release(now time.Time, _, _ string, _ time.Duration) admission.Change {
 	f.adjustLimit(now, f.running[0])
 	f.running = f.running[1:]
 	if len(f.queue) == 0 {
--- a/internal/home/gate.go
+++ b/internal/home/gate.go
@@ -72,7 +72,7 @@
 		return o
 	}
 	if granted := <-decided; granted.OK() {
-		g.notify(g.queue.Abandon(time.Now()))
+		g.notify(g.queue.Abandon(time.Now(), ""))
 		g.schedule()
 	}
 	return o
@@ -83,7 +83,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.notify(g.queue.Release(now, kind, now.Sub(started)))
+	g.notify(g.queue.Release(now, "", kind, now.Sub(started)))
 	g.schedule()
 }
 
@@ -91,7 +91,7 @@
 func (g *gate) releaseUnused() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.notify(g.queue.Abandon(time.Now()))
+	g.notify(g.queue.Abandon(time.Now(), ""))
 	g.schedule()
 }
 
--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -9,6 +9,7 @@
 	NoReplica        Reason = "no_replica"         // no target satisfies the read
 	QueueFull        Reason = "queue_full"         // the queue for the target's slots is full
 	TooLate          Reason = "too_late"           // predicted to miss its deadline
+	OverShare        Reason = "over_share"         // its tenant is above its share of the slots
 	DeadlinePassed   Reason = "deadline_passed"    // the deadline had passed on arrival
 	ServiceDraining  Reason = "service_draining"   // the service accepts no new requests
 	ServiceStopped   Reason = "service_stopped"    // the service is stopped
@@ -56,7 +57,7 @@
 // Reasons returns all reasons, for counters and documentation.
 func Reasons() []Reason {
 	return []Reason{
-		NoPrimary, NoReplica, QueueFull, TooLate, DeadlinePassed, ServiceDraining, ServiceStopped,
+		NoPrimary, NoReplica, QueueFull, TooLate, OverShare, DeadlinePassed, ServiceDraining, ServiceStopped,
 		ShuttingDown, UnknownService, CallerDenied, PolicyDenied, AuthFailed, TokenInvalid,
 		ParameterInvalid, Unsupported, Malformed, TooLarge, ConnectionLimit, RetryBudget,
 		Elsewhere, HomeUnreachable, TargetRejected, PrimaryChanged, NotConfirmed, TransactionLost, Canceled,
@@ -68,7 +69,7 @@
 
 func (r Reason) sqlState() string {
 	switch r {
-	case QueueFull, ConnectionLimit:
+	case QueueFull, OverShare, ConnectionLimit:
 		return "53300" // too_many_connections
 	case TooLate, DeadlinePassed, Canceled:
 		return "57014" // query_canceled
