Play tenants and overloaded classes against the queue

Nothing showed what callers get when one tenant sends nine times as much as the others, or when several classes compete at up to five times the capacity.

--- /dev/null
+++ b/internal/experiment/intime/tenants_test.go
@@ -0,0 +1,149 @@
+package intime
+
+import (
+	"testing"
+	"time"
+)
+
+// Parameters of the tenant tests.
+const (
+	tenantSlots  = 6
+	tenantLength = 20 * time.Second
+	tenantSeeds  = 3
+)
+
+// tenantLoads returns the loads of eight tenants, of which the first differs.
+func tenantLoads(first, others float64) []float64 {
+	loads := []float64{first}
+	for range 7 {
+		loads = append(loads, others)
+	}
+	return loads
+}
+
+func isFirst(j Job) bool  { return j.Tenant == "tenant-0" }
+func isOther(j Job) bool  { return j.Tenant != "tenant-0" }
+func isAnyone(j Job) bool { return true }
+
+// runTenants runs jobs under the queue of the proxy.
+func runTenants(jobs []Job) Score {
+	return Run(jobs, Options{Policy: WeightedDeadline, Slots: tenantSlots, StartShare: 0.5, Seed: 1})
+}
+
+// withoutTenants returns the jobs without their tenants.
+func withoutTenants(jobs []Job) []Job {
+	out := make([]Job, len(jobs))
+	for i, j := range jobs {
+		j.Tenant = ""
+		out[i] = j
+	}
+	return out
+}
+
+// Guards against a tenant that costs the others their service by sending more: the others
+// may lose 2 points of their requests in time, and their 99th percentile may double. The
+// tenant sends nine times what each of the others sends. At a load of 1/8 the others use
+// all of their shares.
+func TestTenantAboveItsShare(t *testing.T) {
+	for seed := uint64(1); seed <= tenantSeeds; seed++ {
+		for _, load := range []float64{0.04, 0.08, 0.1, 1.0 / 8} {
+			usual := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, tenantLoads(load, load))
+			before := Summarize(usual, runTenants(usual).Results, isOther)
+			jobs := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, tenantLoads(9*load, load))
+			score := runTenants(jobs)
+			after, first := Summarize(jobs, score.Results, isOther), Summarize(jobs, score.Results, isFirst)
+			unfair := Summarize(jobs, Run(withoutTenants(jobs), Options{Policy: WeightedDeadline, Slots: tenantSlots, Seed: 1}).Results, isOther)
+			t.Logf("seed %d, load %.3f: others %.4f in time and p99 %s, before %.4f and %s, without tenants %.4f and %s; first %.4f", seed, load,
+				after.InTime, after.P99.Round(time.Millisecond), before.InTime, before.P99.Round(time.Millisecond), unfair.InTime, unfair.P99.Round(time.Millisecond), first.InTime)
+			if after.InTime < before.InTime-0.02 {
+				t.Errorf("seed %d, load %.3f: %.4f of the others' requests in time, %.4f without the large tenant", seed, load, after.InTime, before.InTime)
+			}
+			if after.P99 > 2*before.P99 {
+				t.Errorf("seed %d, load %.3f: 99th percentile of the others %s, %s without the large tenant", seed, load, after.P99, before.P99)
+			}
+			if load > 0.09 && unfair.InTime > after.InTime-0.05 {
+				t.Errorf("seed %d, load %.3f: %.4f of the others' requests in time without tenants, so the load shows nothing", seed, load, unfair.InTime)
+			}
+			if score.IdleWhileWaiting > 0 {
+				t.Errorf("seed %d, load %.3f: a slot was free for %s while a request waited", seed, load, score.IdleWhileWaiting)
+			}
+		}
+	}
+}
+
+// Guards against shares that are withheld from the only tenant that could use them.
+func TestUnusedShares(t *testing.T) {
+	jobs := GenerateTenants(1, Tenants(), tenantSlots, tenantLength, tenantLoads(0.8, 0.01))
+	score := runTenants(jobs)
+	if got := Summarize(jobs, score.Results, isAnyone); got.InTime < 0.999 {
+		t.Errorf("%.4f of the requests in time, want all: one tenant needs 0.8 of the slots and the others leave them unused", got.InTime)
+	}
+	// Twice the capacity of one tenant's load fills what the others leave.
+	jobs = GenerateTenants(1, Tenants(), tenantSlots, tenantLength, tenantLoads(2, 0.01))
+	score = runTenants(jobs)
+	used := time.Duration(0)
+	for i, r := range score.Results {
+		if r.Served {
+			used += jobs[i].ServiceTime
+		}
+	}
+	if share := float64(used) / float64(tenantSlots*tenantLength); share < 0.98 || score.IdleWhileWaiting > 0 {
+		t.Errorf("%.3f of the slot time used, %s idle while a request waited", share, score.IdleWhileWaiting)
+	}
+}
+
+// Guards against fair queueing that costs service where nobody sends too much, or that
+// changes the decisions for a single tenant.
+func TestTenantsWithoutCompetition(t *testing.T) {
+	for seed := uint64(1); seed <= tenantSeeds; seed++ {
+		jobs := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, tenantLoads(0.09, 0.09))
+		fair := Summarize(jobs, runTenants(jobs).Results, isAnyone)
+		plain := Summarize(jobs, Run(withoutTenants(jobs), Options{Policy: WeightedDeadline, Slots: tenantSlots, Seed: 1}).Results, isAnyone)
+		if fair.InTime < plain.InTime || fair.P99 > plain.P99*11/10 {
+			t.Errorf("seed %d: %.4f in time and p99 %s, without tenants %.4f and %s", seed, fair.InTime, fair.P99, plain.InTime, plain.P99)
+		}
+		for _, load := range []float64{0.9, 2} {
+			alone := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, []float64{load})
+			got := runTenants(alone).Results
+			want := Run(withoutTenants(alone), Options{Policy: WeightedDeadline, Slots: tenantSlots, Seed: 1}).Results
+			for i := range got {
+				if got[i] != want[i] {
+					t.Fatalf("seed %d, load %.1f: job %d of a single tenant ended as %+v, without tenants %+v", seed, load, i, got[i], want[i])
+				}
+			}
+		}
+	}
+}
+
+// Guards against refusals of valuable requests in favor of less valuable ones, and against
+// requests that wait in vain or get to the target when little of their objective is left.
+func TestClassesUnderOverload(t *testing.T) {
+	// The classes in the order of their value per slot time.
+	const short, long, patient = 0, 1, 2
+	byValue := []int{long, patient, short}
+	for seed := uint64(1); seed <= tenantSeeds; seed++ {
+		for _, load := range []float64{1.5, 2, 3, 5} {
+			jobs := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, tenantLoads(load/8, load/8))
+			score := runTenants(jobs)
+			of := func(class int) Service {
+				return Summarize(jobs, score.Results, func(j Job) bool { return j.Class == class })
+			}
+			all := Summarize(jobs, score.Results, isAnyone)
+			t.Logf("seed %d, load %.1f: refused %.3f short, %.3f patient, %.3f long; started after half %.4f; refused after a tenth %.3f; weight in time %.3f",
+				seed, load, of(short).Refused, of(patient).Refused, of(long).Refused, all.StartedLate, all.RefusedLate, score.InTime/score.Weight)
+			for i := 1; i < len(byValue); i++ {
+				lower, higher := of(byValue[i-1]), of(byValue[i])
+				if higher.Refused > lower.Refused {
+					t.Errorf("seed %d, load %.1f: %s refused %.4f, %s of lower value %.4f", seed, load,
+						Tenants()[byValue[i]].Name, higher.Refused, Tenants()[byValue[i-1]].Name, lower.Refused)
+				}
+			}
+			if all.StartedLate >= 0.01 {
+				t.Errorf("seed %d, load %.1f: %.4f of the served requests started after half of their objective", seed, load, all.StartedLate)
+			}
+			if score.IdleWhileWaiting > 0 {
+				t.Errorf("seed %d, load %.1f: a slot was free for %s while a request waited", seed, load, score.IdleWhileWaiting)
+			}
+		}
+	}
+}
