--- a/internal/ratelimit/failures_test.go
+++ b/internal/ratelimit/failures_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+func TestSlowOwner(t *testing.T) {
+	const slowAt, duration = 8 * time.Second, 20 * time.Second
+	for name, l := range map[string]load{"eight times the limit": overloaded, "80% of the limit": moderate} {
+		Convey("The owners of two failure domains answer more slowly than the time-outs allow: never over the bound (guards against owners that act beside their successors for long); "+name, t, func() {
+			var ops []operation
+			simulate(t, func(f *simFleet) {
+				ops = offerDuring(f, l, duration, func() {
+					time.Sleep(slowAt)
+					for _, domain := range domainNames[:2] {
+						f.byName[f.daemons[0].QuotaOwners(domain, failing.Name)[0]].setSlowness(200 * time.Millisecond)
+					}
+				})
+			})
+			t.Logf("slow owners, %s: %d of %.0f in the worst window, refused %.4f while slow, %.3f of the limit", name, worstWindow(ops), bound(failing),
+				refusedPart(ops, slowAt, duration), float64(countAllowed(ops, slowAt, duration))/(duration-slowAt).Seconds()/failing.Rate)
+			So(float64(worstWindow(ops)), ShouldBeLessThanOrEqualTo, bound(failing))
+		})
+	}
+}
+
 func TestAllRestarted(t *testing.T) {
 	const killAt, duration = 10 * time.Second, 20 * time.Second
 	Convey("All daemons are killed at once, twice, and start again after 500 ms: never over the bound (guards against a burst for each start)", t, func() {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -73,9 +73,11 @@
 	cancel  context.CancelFunc // guarded by mu
 	// group is the part of the network that the daemon is in; daemons of different groups
 	// don't reach each other.
-	group   int            // guarded by mu
-	tracker *fleet.Tracker // guarded by mu
-	view    *fleet.View    // guarded by mu
+	group int // guarded by mu
+	// slowness is added to the time that the daemon takes to answer.
+	slowness time.Duration  // guarded by mu
+	tracker  *fleet.Tracker // guarded by mu
+	view     *fleet.View    // guarded by mu
 }
 
 // newFleet starts a fleet of n daemons. It must be called in a synctest bubble.
@@ -138,6 +140,19 @@
 	d.group = group
 }
 
+// setSlowness changes the time that the daemon takes to answer.
+func (d *simDaemon) setSlowness(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slowness = delay
+}
+
+func (d *simDaemon) answerDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slowness
+}
+
 func (d *simDaemon) status() (l *Limiter, group int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -198,7 +213,7 @@
 			return
 		}
 		answer := l.HandleQuota(d.self.Name, r)
-		time.Sleep(delay)
+		time.Sleep(to.answerDelay() + delay)
 		if still, _ := to.status(); still == l && d.reaches(to) {
 			done <- answer
 		}
