Refill accounts only with the majority of the failure domain

With each failure domain split into two parts of several daemons, an owner acted in each part and both issued the domain's share: 506 operations in a window, bound 350. An account now refills only while its owner reaches the majority of its domain; the smaller part lives on transfers.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -119,6 +119,8 @@
 	decided    []Decision
 	grants     []grantRecord
 	usedAt     time.Duration
+	// suspended is true while the account does not refill.
+	suspended bool
 }
 
 // NewAccount returns an account with one token, or none if the limit admits nothing.
@@ -154,13 +156,30 @@
 		return
 	}
 	a.limit = l
-	a.tokens.resize(now, a.share.rate(l), a.share.capacity(l))
+	a.tokens.resize(now, a.refillRate(), a.share.capacity(l))
 	for _, p := range a.partners {
 		p.known, p.notBefore, p.backoff = false, 0, 0
 	}
 	a.foundNothing = false
 }
 
+// Suspend stops or continues the refill. While it is stopped, the account has only tokens
+// from transfers.
+func (a *Account) Suspend(now time.Duration, suspended bool) {
+	if suspended == a.suspended {
+		return
+	}
+	a.suspended = suspended
+	a.tokens.resize(now, a.refillRate(), a.tokens.capacity)
+}
+
+func (a *Account) refillRate() float64 {
+	if a.suspended {
+		return 0
+	}
+	return a.share.rate(a.limit)
+}
+
 // Arrive asks for n operations. The decision is among the next ones of Decisions, unless
 // the batch has to wait for transfers.
 func (a *Account) Arrive(now time.Duration, n int) (ticket uint64) {
@@ -232,7 +251,7 @@
 	}
 	for _, p := range a.partners {
 		if !asked[p] && p.mayHaveTokens(now, soon) {
-			sum += p.expected(soon, a.tokens)
+			sum += p.expected(soon, a.share, a.limit)
 		}
 	}
 	return sum
@@ -356,7 +375,7 @@
 	amounts := make([]float64, len(partners))
 	rest := tokens
 	for i, p := range partners {
-		amounts[i] = min(rest, p.expected(now, a.tokens))
+		amounts[i] = min(rest, p.expected(now, a.share, a.limit))
 		rest -= amounts[i]
 	}
 	if rest > tokenEpsilon {
@@ -387,12 +406,12 @@
 }
 
 // expected returns how many tokens the partner may have for transfers, if its account has
-// the limit of own.
-func (p *partner) expected(now time.Duration, own bucket) float64 {
+// the given share of the limit.
+func (p *partner) expected(now time.Duration, s Share, l Limit) float64 {
 	if !p.known {
-		return own.capacity
+		return s.capacity(l)
 	}
-	return min(own.capacity, p.spare+own.rate*(now-p.at).Seconds())
+	return min(s.capacity(l), p.spare+s.rate(l)*(now-p.at).Seconds())
 }
 
 // refuseWaiters refuses all operations that wait.
@@ -432,10 +451,10 @@
 // refillTime returns how long an account takes to refill some tokens, at least a tenth of
 // firstBackoff and at most maxBackoff.
 func (a *Account) refillTime(tokens float64) time.Duration {
-	if a.tokens.rate <= 0 {
+	if a.share.rate(a.limit) <= 0 {
 		return maxBackoff
 	}
-	return min(maxBackoff, max(firstBackoff/10, time.Duration(tokens/a.tokens.rate*float64(time.Second))))
+	return min(maxBackoff, max(firstBackoff/10, time.Duration(tokens/a.share.rate(a.limit)*float64(time.Second))))
 }
 
 // NextWake returns when the account may go on with the operations that wait, if that is soon
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -208,3 +208,21 @@
 		So(a.CanDrop(10*time.Second, time.Second), ShouldBeFalse)
 	})
 }
+
+func TestSuspend(t *testing.T) {
+	Convey("A suspended account does not refill and admits only what transfers bring (guards against the share of a split failure domain issued twice)", t, func() {
+		a := NewAccount(0, two, Limit{Rate: 20, Burst: 40, Version: 1}, other, 0)
+		a.Suspend(0, true)
+		a.SetLimit(0, Limit{Rate: 40, Burst: 40, Version: 2})
+		a.Arrive(0, 1)
+		So(a.Decisions()[0].Granted, ShouldEqual, 1)
+		So(a.State(time.Minute).Balance, ShouldEqual, 0)
+		a.Arrive(time.Minute, 1)
+		receive(a, time.Minute, a.Transfers(time.Minute), 1)
+		So(a.Decisions()[0].Granted, ShouldEqual, 1)
+		balance := a.State(time.Minute).Balance
+		a.Suspend(time.Minute, false)
+		So(a.State(time.Minute).Balance, ShouldEqual, balance)
+		So(a.State(time.Minute+100*ms).Balance, ShouldAlmostEqual, balance+2)
+	})
+}
--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -23,6 +23,13 @@
 	probeTimeout = 100 * time.Millisecond
 	// probeCount is the number of daemons that are probed at once.
 	probeCount = 3
+	// surveyInterval is the shortest time between surveys, sampleInterval the time between
+	// samples. They find a split of the failure domain.
+	surveyInterval = time.Second
+	sampleInterval = 500 * time.Millisecond
+	// sampleTimeout limits the probes of surveys and samples. It is longer than probeTimeout
+	// because nothing waits for them, and busy VMs must not count as silent.
+	sampleTimeout = 250 * time.Millisecond
 	// probeHold is how long the result of a probe without an answer holds.
 	probeHold = 250 * time.Millisecond
 )
@@ -143,3 +150,65 @@
 	defer func() { <-l.contact.probing }()
 	l.probe()
 }
+
+// survey probes the neighbors that don't count as down. One of them has fallen silent, and
+// more may be on the other side of a split.
+func (l *Limiter) survey() {
+	for _, name := range l.options.Network.Neighbors() {
+		if _, down := l.isDown(name); !down {
+			go l.probeNeighbor(name)
+		}
+	}
+}
+
+// sample probes a neighbor at random if this daemon holds accounts: an owner that is only
+// asked itself would not find out that it is cut off from others.
+func (l *Limiter) sample() {
+	neighbors := l.options.Network.Neighbors()
+	if len(neighbors) == 0 || !l.owner.holdsAccounts() {
+		return
+	}
+	now := l.options.Now()
+	l.mu.Lock()
+	due := now-l.sampledAt >= sampleInterval
+	if due {
+		l.sampledAt = now
+	}
+	l.mu.Unlock()
+	name := neighbors[rand.N(len(neighbors))]
+	if _, down := l.isDown(name); due && !down {
+		go l.probeNeighbor(name)
+	}
+}
+
+func (l *Limiter) probeNeighbor(name string) {
+	if _, err := l.call(name, peer.QuotaRequest{Kind: peer.QuotaProbe}, sampleTimeout); err == nil {
+		l.noteContact()
+	}
+}
+
+// hasMajority reports whether this daemon reaches more than half of the daemons of its
+// failure domain, itself included, or just half of them with the first by name. Daemons
+// whose VMs refuse connections don't count: they are no owners. Of two parts of a split
+// domain at most one has the majority; the accounts of the other don't refill.
+func (l *Limiter) hasMajority() bool {
+	neighbors := l.options.Network.Neighbors()
+	first, firstReached := l.options.Self, true
+	all, reached := 1, 1
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range neighbors {
+		d, down := l.down[name]
+		if down && d.refused {
+			continue
+		}
+		all++
+		if !down {
+			reached++
+		}
+		if name < first {
+			first, firstReached = name, !down
+		}
+	}
+	return 2*reached > all || 2*reached == all && firstReached
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -105,6 +107,9 @@
 	// down holds the daemons that did not answer. They are not asked until they answer a
 	// probe or send a request themselves.
 	down map[string]*downDaemon // guarded by mu
+	// surveyedAt is when the neighbors were last probed because one of them fell silent, and
+	// sampledAt when one was last probed to find out whether one has.
+	surveyedAt, sampledAt time.Duration // guarded by mu
 	// unreachableDomains are the failure domains whose last transfer failed.
 	unreachableDomains map[string]bool // guarded by mu
 }
@@ -113,6 +118,8 @@
 type downDaemon struct {
 	// since is when its first request without an answer ended, probeAt when it is probed next.
 	since, probeAt time.Duration
+	// refused is true if the connection was refused: no process runs there.
+	refused bool
 }
 
 // queue holds the next batch of a tenant.
@@ -335,6 +342,11 @@
 		l.down[name] = d
 		l.options.Log.StateChange("quota_peer_down", "peer", name, "error", err.Error())
 	}
+	d.refused = errors.Is(err, syscall.ECONNREFUSED)
+	if !ok && !d.refused && now-l.surveyedAt > surveyInterval {
+		l.surveyedAt = now
+		go l.survey()
+	}
 	d.probeAt = now + downProbeInterval
 	if now-d.since > longDownAfter {
 		d.probeAt = now + longDownProbeInterval
@@ -488,6 +500,7 @@
 			return
 		case <-ticker.C:
 			l.keepContact()
+			l.sample()
 			l.owner.sweep()
 			l.probeDown()
 		}
--- a/internal/ratelimit/owner.go
+++ b/internal/ratelimit/owner.go
@@ -78,6 +78,7 @@
 		o.accounts[tenant] = h
 	}
 	h.account.SetLimit(now, limit)
+	h.account.Suspend(now, !o.limiter.hasMajority())
 	h.actedAt = now
 	return h
 }
@@ -281,7 +282,9 @@
 	defer o.mu.Unlock()
 	o.checkNeighbors()
 	now := o.limiter.options.Now()
+	suspended := !o.limiter.hasMajority()
 	for tenant, h := range o.accounts {
+		h.account.Suspend(now, suspended)
 		first := o.limiter.isFirstOwner(tenant)
 		switch {
 		case !first && now-h.actedAt > successorRetention:
