Log replaced quota owners, and don't count daemons without quotas as silent

During an upgrade most daemons of a failure domain may not know the frames. They counted as a part of a split, and the accounts of the others did not refill.

--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -1,10 +1,8 @@
 package ratelimit
 
 import (
-	"errors"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/peer"
@@ -116,7 +114,7 @@
 }
 
 // probeAll probes daemons at the same time. It reports whether one answered, and whether all
-// of them refused the connection.
+// of them refused the connection or know no quotas.
 func (l *Limiter) probeAll(names []string) (answered, refused bool) {
 	results := make(chan error, len(names))
 	for _, name := range names {
@@ -131,7 +129,7 @@
 		if err == nil {
 			return true, false
 		}
-		refused = refused && errors.Is(err, syscall.ECONNREFUSED)
+		refused = refused && canNotOwn(err)
 	}
 	return false, refused
 }
@@ -189,7 +187,7 @@
 
 // hasMajority reports whether this daemon reaches more than half of the daemons of its
 // failure domain, itself included, or just half of them with the first by name. Daemons
-// whose VMs refuse connections don't count: they are no owners. Of two parts of a split
+// that can't act as owner don't count. Of two parts of a split
 // domain at most one has the majority; the accounts of the other don't refill.
 func (l *Limiter) hasMajority() bool {
 	neighbors := l.options.Network.Neighbors()
@@ -199,7 +197,7 @@
 	defer l.mu.Unlock()
 	for _, name := range neighbors {
 		d, down := l.down[name]
-		if down && d.refused {
+		if down && d.noOwner {
 			continue
 		}
 		all++
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -118,8 +118,10 @@
 type downDaemon struct {
 	// since is when its first request without an answer ended, probeAt when it is probed next.
 	since, probeAt time.Duration
-	// refused is true if the connection was refused: no process runs there.
-	refused bool
+	// noOwner is true if the daemon can't act as quota owner; see canNotOwn.
+	noOwner bool
+	// replaced is true if this daemon has acted as quota owner in its place.
+	replaced bool
 }
 
 // queue holds the next batch of a tenant.
@@ -279,13 +281,16 @@
 	}
 	// downSince is when the last of the daemons ahead of this one went down.
 	downSince := time.Duration(0)
+	var ahead []string
 	for i, name := range l.options.Network.QuotaOwners(l.options.Domain, tenant) {
 		if name == l.options.Self {
 			if !l.hasContact(downSince) {
 				return outcome{}
 			}
+			l.noteReplaced(ahead)
 			return outcome{reached: true, decision: l.owner.admit(tenant, limit, count)}
 		}
+		ahead = append(ahead, name)
 		if since, down := l.isDown(name); down {
 			downSince = max(downSince, since)
 			continue
@@ -317,6 +322,22 @@
 	return outcome{}
 }
 
+// noteReplaced logs the first time that this daemon acts as owner in the place of others
+// since they went down.
+func (l *Limiter) noteReplaced(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range names {
+		if d, ok := l.down[name]; ok && !d.replaced {
+			d.replaced = true
+			l.options.Log.StateChange("quota_owner_replaced", "peer", name)
+		}
+	}
+}
+
 func decisionOf(answer peer.QuotaResponse, count int) quota.Decision {
 	granted := int(min(answer.Granted, uint64(count)))
 	return quota.Decision{
@@ -342,8 +363,8 @@
 		l.down[name] = d
 		l.options.Log.StateChange("quota_peer_down", "peer", name, "error", err.Error())
 	}
-	d.refused = errors.Is(err, syscall.ECONNREFUSED)
-	if !ok && !d.refused && now-l.surveyedAt > surveyInterval {
+	d.noOwner = canNotOwn(err)
+	if !ok && !d.noOwner && now-l.surveyedAt > surveyInterval {
 		l.surveyedAt = now
 		go l.survey()
 	}
@@ -354,6 +375,12 @@
 	return answer, err
 }
 
+// canNotOwn reports whether an error shows that no quota owner runs at the other end: no
+// process accepts connections, or one of a release without quotas.
+func canNotOwn(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, peer.ErrNoQuota)
+}
+
 // markUp records that a daemon answers.
 func (l *Limiter) markUp(name string) {
 	l.mu.Lock()
--- a/internal/ratelimit/loopback_test.go
+++ b/internal/ratelimit/loopback_test.go
@@ -117,7 +117,7 @@
 func (d *loopbackDaemon) PeerLeaving(string)                 {}
 func (d *loopbackDaemon) Open(stmtunit.Header) stmtunit.Unit { return nil }
 
-func newLoopbackFleet(t *testing.T) *loopbackFleet {
+func newLoopbackFleet(t testing.TB) *loopbackFleet {
 	t.Helper()
 	f := &loopbackFleet{daemons: map[string]*loopbackDaemon{}}
 	for _, name := range []string{"gateway", "owner", "successor", "partner"} {
@@ -325,3 +325,25 @@
 		}
 	})
 }
+
+func TestMixedReleases(t *testing.T) {
+	Convey("In a failure domain where most daemons know no quotas, the one that does acts as owner and refills (guards against refusals during an upgrade)", t, func() {
+		f := newLoopbackFleet(t)
+		gateway := f.daemons["gateway"]
+		for _, name := range []string{"owner", "successor"} {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer func() { _ = l.Close() }()
+			go (&peer.Server{Name: name, Opener: gateway}).Serve(l)
+			gateway.clients[name] = peer.NewClient(peer.Identity{Name: "gateway"}, name, l.Addr().String(), gateway)
+			defer gateway.clients[name].Close()
+		}
+		tenant := catalog.Tenant{Name: "t", Rate: 1000, Burst: 1000}
+		for range 5 {
+			_, _, ok := gateway.limiter.Admit(tenant, 1)
+			So(ok, ShouldBeTrue)
+			time.Sleep(20 * time.Millisecond)
+		}
+		So(gateway.limiter.hasMajority(), ShouldBeTrue)
+	})
+}
--- a/internal/ratelimit/owner.go
+++ b/internal/ratelimit/owner.go
@@ -39,6 +39,8 @@
 	// They return as full, unless the daemons of the failure domain have changed: then another
 	// daemon may have been owner meanwhile.
 	full map[string]quota.Limit // guarded by mu
+	// suspended is whether the accounts did not refill at the last sweep.
+	suspended bool // guarded by mu
 	// neighbors are the other daemons of the failure domain when full was last valid.
 	neighbors []string // guarded by mu
 }
@@ -283,6 +285,10 @@
 	o.checkNeighbors()
 	now := o.limiter.options.Now()
 	suspended := !o.limiter.hasMajority()
+	if suspended != o.suspended {
+		o.suspended = suspended
+		o.limiter.options.Log.StateChange("quota_majority_changed", "reached", !suspended)
+	}
 	for tenant, h := range o.accounts {
 		h.account.Suspend(now, suspended)
 		first := o.limiter.isFirstOwner(tenant)
