--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -28,17 +29,33 @@
 
 	conn   net.Conn
 	reader *bufio.Reader
+	// onSend is told the ID of each statement, when its unit began and when it is sent; it
+	// may be nil.
+	onSend func(id string, unit, at time.Time)
+	// unit is when the first statement of the open unit was sent; inTransaction is true
+	// after an answer that left a transaction open.
+	unit          time.Time
+	inTransaction bool
 }
 
-// Connect opens a session with a database at an IP:port. It returns an error only if the
-// TCP connection fails; a session that the daemon refuses has Refused set.
+// keyOfNoTenant is what callers without a key present.
+const keyOfNoTenant = "test"
+
+// Connect opens a session without a key; see ConnectWithKey.
 func Connect(address, database string) (*Caller, error) {
+	return ConnectWithKey(address, database, keyOfNoTenant)
+}
+
+// ConnectWithKey opens a session with a database at an IP:port and presents a key. It
+// returns an error only if the TCP connection fails; a session that the daemon refuses has
+// Refused set.
+func ConnectWithKey(address, database, key string) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp4", address, answerTimeout)
 	if err != nil {
 		return nil, err
 	}
 	c := &Caller{conn: conn, reader: bufio.NewReader(conn)}
-	if err := c.send("START " + database + " test"); err != nil {
+	if err := c.send("START " + database + " " + key); err != nil {
 		c.Refused = Closed
 	} else if line := c.ReadLine(); line != "READY I -" {
 		c.Refused = line
@@ -81,6 +98,8 @@
 	// State is the transaction state after the statement: I (idle), T (in a transaction)
 	// or E (failed transaction).
 	State string
+	// Sent is when the statement was sent.
+	Sent time.Time
 }
 
 // OK reports whether the statement succeeded and carries the signature of a target.
@@ -88,6 +107,18 @@
 	return r.Completion == "DONE sig."+r.ID
 }
 
+// RetryAfter returns the time after which the refusal asks for another try. It returns
+// false if the reply has none.
+func (r Reply) RetryAfter() (time.Duration, bool) {
+	for _, f := range strings.Fields(r.Completion) {
+		if text, ok := strings.CutPrefix(f, "retry_after_ms="); ok {
+			ms, err := strconv.Atoi(text)
+			return time.Duration(ms) * time.Millisecond, err == nil
+		}
+	}
+	return 0, false
+}
+
 // Code returns the error code, or an empty string if there is none.
 func (r Reply) Code() string {
 	f := strings.Fields(r.Completion)
@@ -99,7 +130,13 @@
 
 // Query sends one statement with a new ID and reads its reply up to READY.
 func (c *Caller) Query(text string) Reply {
-	r := Reply{ID: fmt.Sprintf("id%d", lastStatementID.Add(1))}
+	r := Reply{ID: fmt.Sprintf("id%d", lastStatementID.Add(1)), Sent: time.Now()}
+	if !c.inTransaction {
+		c.unit = r.Sent
+	}
+	if c.onSend != nil {
+		c.onSend(r.ID, c.unit, r.Sent)
+	}
 	if c.send("QUERY "+r.ID+" "+text) != nil {
 		r.Completion = Closed
 		return r
@@ -114,6 +151,7 @@
 			r.Completion = line
 		case "READY":
 			r.State, _, _ = strings.Cut(rest, " ")
+			c.inTransaction = r.State != "I"
 			return r
 		default:
 			r.Completion = line
--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -30,6 +31,11 @@
 	// refusedConnections counts connections to targets at MaxConnections.
 	peakConnections    int
 	refusedConnections int
+	// runs holds every run of a caller's statement, in the order of time.
+	runs []*Run
+	// opened and open count the connections by the tenant in their first message, since
+	// the start and now.
+	opened, open map[string]int
 	// demoted is the target that was demoted last; nil before the first demotion.
 	demoted *Target
 	// stopped is closed when the group closes.
@@ -40,7 +46,7 @@
 // publishes the targets in the store. The first target is the primary. It returns an
 // error if a target cannot listen.
 func NewGroup(name, ip string, zones []string, maxConnections int, store *Store) (*Group, error) {
-	g := &Group{Name: name, MaxConnections: maxConnections, store: store, sessionValues: map[string]map[string]string{}, stopped: make(chan struct{})}
+	g := &Group{Name: name, MaxConnections: maxConnections, store: store, sessionValues: map[string]map[string]string{}, opened: map[string]int{}, open: map[string]int{}, stopped: make(chan struct{})}
 	for i, zone := range zones {
 		t := &Target{
 			ID: name + "-" + strconv.Itoa(i), Zone: zone, group: g, primary: i == 0, term: 1,
@@ -291,6 +297,65 @@
 	return g.refusedConnections
 }
 
+// Run is one run of a caller's statement at a target.
+type Run struct {
+	// ID is the statement ID.
+	ID string
+	// Tenant is the one that the connection was opened for.
+	Tenant string
+	// Target is the ID of the target.
+	Target string
+	At     time.Time
+	// First is true for a single statement and for the first statement of a transaction.
+	First bool
+	// ReadID is the ID of the write whose value a read returned, and ReadPosition that
+	// write's position in the log of the target. They are zero for other statements and if
+	// the item was never written.
+	ReadID       string
+	ReadPosition int
+}
+
+// Runs returns all runs of callers' statements in the order of time.
+func (g *Group) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := make([]Run, len(g.runs))
+	for i, r := range g.runs {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// connectionOpened counts a connection by its tenant.
+func (g *Group) connectionOpened(tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opened[tenant]++
+	g.open[tenant]++
+}
+
+// connectionClosed ends what connectionOpened counts as open.
+func (g *Group) connectionClosed(tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open[tenant]--
+}
+
+// OpenedConnections returns how many connections were opened to the targets since the
+// start, by tenant.
+func (g *Group) OpenedConnections() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.opened)
+}
+
+// OpenConnections returns how many connections a tenant has to the targets now.
+func (g *Group) OpenConnections(tenant string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open[tenant]
+}
+
 // Promotion is one promote call as it was received.
 type Promotion struct {
 	Group, Target, Holder string
@@ -359,20 +424,38 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Committed returns the values that were committed to an item, in the order of the
-// newest primary's log.
-func (g *Group) Committed(item string) []string {
+// Commit is a write in the log of a target.
+type Commit struct {
+	// ID is the ID of the statement that wrote the value.
+	ID, Data string
+	// Position is the place in the log, from 1.
+	Position int
+	At       time.Time
+}
+
+// Commits returns the writes of an item in the order of the newest primary's log.
+func (g *Group) Commits(item string) []Commit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.newestPrimary()
 	if p == nil {
 		return nil
 	}
-	var data []string
-	for _, w := range p.log {
+	var commits []Commit
+	for i, w := range p.log {
 		if w.item == item {
-			data = append(data, w.data)
+			commits = append(commits, Commit{ID: w.id, Data: w.data, Position: i + 1, At: w.at})
 		}
 	}
+	return commits
+}
+
+// Committed returns the values that were committed to an item, in the order of the
+// newest primary's log.
+func (g *Group) Committed(item string) []string {
+	var data []string
+	for _, c := range g.Commits(item) {
+		data = append(data, c.Data)
+	}
 	return data
 }
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -40,6 +40,8 @@
 // write is one change of an item, with the term in which it was written and the time of
 // its commit.
 type write struct {
+	// id is the ID of the statement that wrote the item.
+	id   string
 	term uint64
 	item string
 	data string
@@ -49,6 +51,8 @@
 // session is the state of one connection at a target.
 type session struct {
 	target *Target
+	// tenant is the second field of START.
+	tenant string
 	// values holds the session values, by name.
 	values map[string]string
 	// prepared holds the access and query of each prepared statement, by its name.
@@ -59,6 +63,8 @@
 	inTransaction bool
 	readWrite     bool
 	failed        bool
+	// unitStarted is true if a statement of the open transaction has run.
+	unitStarted bool
 	// pending holds the writes of the open transaction.
 	pending []write
 }
@@ -120,7 +126,9 @@
 		_, _ = fmt.Fprintf(c, "ERR WRONGNODE %s\r\n", t.ID)
 		return
 	}
-	s := &session{target: t, values: map[string]string{}, prepared: map[string]string{}}
+	s := &session{target: t, tenant: start[2], values: map[string]string{}, prepared: map[string]string{}}
+	t.group.connectionOpened(s.tenant)
+	defer t.group.connectionClosed(s.tenant)
 	if _, err := fmt.Fprintf(c, "READY I %s\r\n", t.position()); err != nil {
 		return
 	}
@@ -243,7 +251,7 @@
 		if len(f) == 1 && !t.primary {
 			return errorReply("READONLY")
 		}
-		s.inTransaction, s.readWrite, s.pending = true, len(f) == 1, nil
+		s.inTransaction, s.readWrite, s.pending, s.unitStarted = true, len(f) == 1, nil, false
 	case "ROLLBACK":
 		s.inTransaction, s.failed, s.pending = false, false, nil
 	case "COMMIT":
@@ -251,7 +259,7 @@
 			s.inTransaction, s.failed, s.pending = false, false, nil
 			return errorReply("ABORTED")
 		}
-		t.runCounts[id]++
+		s.recordRun(id)
 		for _, w := range s.pending {
 			g.appendWrite(t, w)
 		}
@@ -276,6 +284,17 @@
 	return "DONE -\r\n"
 }
 
+// recordRun records the run of a statement and returns the record. The caller holds
+// group.mu.
+func (s *session) recordRun(id string) *Run {
+	t := s.target
+	t.runCounts[id]++
+	r := &Run{ID: id, Tenant: s.tenant, Target: t.ID, At: time.Now(), First: !s.inTransaction || !s.unitStarted}
+	s.unitStarted = s.inTransaction
+	t.group.runs = append(t.group.runs, r)
+	return r
+}
+
 // status returns the answer to STATUS. The caller holds group.mu.
 func (t *Target) status() string {
 	role := "replica"
@@ -289,12 +308,13 @@
 // holds group.mu.
 func (s *session) read(id, item string) string {
 	t := s.target
-	t.runCounts[id]++
+	run := s.recordRun(id)
 	t.group.sessionValues[id] = maps.Clone(s.values)
 	data := "none"
-	for _, w := range t.log {
+	for i, w := range t.log {
 		if w.item == item {
 			data = w.data
+			run.ReadID, run.ReadPosition = w.id, i+1
 		}
 	}
 	return fmt.Sprintf("ROW %s\r\nDONE sig.%s\r\n", data, id)
@@ -308,9 +328,9 @@
 		s.failed = s.inTransaction
 		return errorReply("READONLY")
 	}
-	t.runCounts[id]++
+	s.recordRun(id)
 	t.group.sessionValues[id] = maps.Clone(s.values)
-	w := write{term: t.term, item: item, data: data}
+	w := write{id: id, term: t.term, item: item, data: data}
 	if s.inTransaction {
 		s.pending = append(s.pending, w)
 	} else {
