--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -30,6 +30,8 @@
 	// refusingStore is the address of a store that refuses all calls; daemons started from
 	// now on use it if it is set.
 	refusingStore string
+	// tenantBounds are the settings about tenants of daemons started from now on.
+	tenantBounds site.TenantBounds
 	// metricsListen is the metrics address of daemons started from now on; empty for
 	// none.
 	metricsListen string
@@ -56,7 +58,7 @@
 // and waits until the daemons are ready and consider their lists of targets complete.
 func newTestCluster(t *testing.T, zones ...string) *testCluster {
 	t.Helper()
-	tc := &testCluster{t: t}
+	tc := &testCluster{t: t, tenantBounds: site.DefaultTenantBounds}
 	var err error
 	if tc.store, err = site.NewStore("127.0.0.1"); err != nil {
 		t.Fatal(err)
@@ -114,10 +116,12 @@
 	if tc.refusingStore != "" {
 		storeAddress = tc.refusingStore
 	}
+	bounds := map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()}
+	tc.tenantBounds.AddTo(bounds)
 	settings := map[string]any{
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
-		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()},
+		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": bounds,
 		"bootstrap": tc.firstStart, "platform": map[string]any{"addr": storeAddress, "form": "objects"},
 		"cloud": map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
 	}
--- a/internal/standin/site/tenantcheck.go
+++ b/internal/standin/site/tenantcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 	// limit is how long after the acknowledgement of a newer version a statement may still
 	// be sent and handled by an older one.
 	limit time.Duration
+	// revocation is how long after the acknowledgement of a newer version a statement may
+	// still run that only an older one allows.
+	revocation time.Duration
 
 	mu       sync.Mutex
 	versions []declaredVersion
@@ -38,9 +42,10 @@
 
 // NewTenantCheck returns a check of the configurations that are declared in store. A
 // statement that is sent more than limit after a change must not be handled by an older
-// version.
-func NewTenantCheck(store *Store, limit time.Duration) *TenantCheck {
-	return &TenantCheck{store: store, limit: limit, sent: map[string]sentStatement{}}
+// version. A statement with a key that has no owner any more must not run later than
+// revocation after the change, whenever it was sent.
+func NewTenantCheck(store *Store, limit, revocation time.Duration) *TenantCheck {
+	return &TenantCheck{store: store, limit: limit, revocation: revocation, sent: map[string]sentStatement{}}
 }
 
 // Declare writes a configuration to the store and returns when the store has it.
@@ -74,7 +79,7 @@
 // if the statement must not have run. The caller holds mu.
 func (c *TenantCheck) allowed(s sentStatement, ran time.Time) []string {
 	var tenants []string
-	inForce := c.inForce(s.at, ran)
+	inForce := c.inForce(s.at, ran, c.revocation)
 	for _, v := range inForce {
 		if t, ok := v.runsAs(s.database, s.key); ok {
 			tenants = append(tenants, t)
@@ -85,7 +90,7 @@
 	}
 	// A transaction keeps the tenant with which it began as long as the key has an owner
 	// and the tenant exists.
-	for _, v := range c.inForce(s.unit, ran) {
+	for _, v := range c.inForce(s.unit, ran, math.MaxInt64) {
 		t, ok := v.runsAs(s.database, s.key)
 		if ok && slices.ContainsFunc(inForce, func(v Configuration) bool { return v.has(t) }) {
 			tenants = append(tenants, t)
@@ -95,11 +100,13 @@
 }
 
 // inForce returns the configurations by which a statement that was sent and ran at the
-// given times may have been handled. The caller holds mu.
-func (c *TenantCheck) inForce(sent, ran time.Time) []Configuration {
+// given times may have been handled, if none may be applied longer than the given time
+// after it was replaced. The caller holds mu.
+func (c *TenantCheck) inForce(sent, ran time.Time, longest time.Duration) []Configuration {
 	var configurations []Configuration
 	for _, v := range c.versions {
-		if !v.from.After(ran) && (v.until.IsZero() || v.until.Add(c.limit).After(sent)) {
+		replaced := !v.until.IsZero() && (sent.Sub(v.until) >= c.limit || ran.Sub(v.until) >= longest)
+		if !v.from.After(ran) && !replaced {
 			configurations = append(configurations, v.configuration)
 		}
 	}
--- a/internal/standin/site/tenantcheck_test.go
+++ b/internal/standin/site/tenantcheck_test.go
@@ -26,7 +26,7 @@
 	g, err := NewGroup("grp", "127.0.0.1", []string{"north"}, 4, store)
 	So(err, ShouldBeNil)
 	t.Cleanup(g.Close)
-	return checkedGroup{NewTenantCheck(store, limit), g}
+	return checkedGroup{NewTenantCheck(store, limit, time.Second), g}
 }
 
 // run sends statements to the target as a daemon does that takes a caller with a key for
@@ -75,6 +75,15 @@
 		c.run("a", "key", "READ k")
 		So(c.WrongTenants(c.group), ShouldHaveLength, 1)
 	})
+	Convey("A statement that was sent before the removal is wrong if it runs too late", t, func() {
+		c := newCheckedGroup(t, time.Minute)
+		c.revocation = 50 * time.Millisecond
+		c.declare(1, "a")
+		c.group.StatementTime = 100 * time.Millisecond
+		time.AfterFunc(20*time.Millisecond, func() { c.declare(2, "") })
+		c.run("a", "key", "READ k")
+		So(c.WrongTenants(c.group), ShouldHaveLength, 1)
+	})
 	Convey("A transaction keeps its tenant when the key moves, a later unit does not", t, func() {
 		c := newCheckedGroup(t, 0)
 		c.declare(1, "a")
