Trace each late write that the soak accepts as read

The soak accepts a read of an earlier value if that write had no known outcome. It did not show that the write had run late: a stale read of such a value passed. Now the target's record of the read and the log of the primary must show that the write ran after the acknowledged one and was what the target returned; the trace is logged, and anything else is a violation.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -44,8 +44,9 @@
 	// until the replicas have what was acknowledged.
 	writing sync.RWMutex
 	mu      sync.Mutex
-	// violations holds the violated guarantees. It is guarded by mu.
-	violations []string
+	// violations holds the violated guarantees, and lateReads the traces of reads that
+	// returned a late write. They are guarded by mu.
+	violations, lateReads []string
 }
 
 // vm is one daemon with the settings file to restart it.
@@ -261,7 +262,8 @@
 // node.TestWriteWithoutAnswer shows, and may be read then. At the end it checks that
 // acknowledged writes are committed and refused ones are not.
 func (s *soak) writeOwnItem(item string, rng *rand.Rand, stop chan struct{}) {
-	var acknowledged, refused, unknown []string
+	var acknowledged, refused []string
+	var unknown []ownWrite
 	c := s.openSession(rng, "session")
 	for n := 1; ; n++ {
 		select {
@@ -283,7 +285,7 @@
 		}
 		data := fmt.Sprint(n)
 		s.writing.RLock()
-		w := c.Query("WRITE " + item + " " + data)
+		w := ownWrite{c.Query("WRITE " + item + " " + data), data}
 		s.writing.RUnlock()
 		if runs := s.group.RunCount(w.ID); runs > 1 {
 			s.recordViolation("%s: write %s ran %d times", item, data, runs)
@@ -292,22 +294,42 @@
 		case w.OK():
 			s.served.Add(1)
 			acknowledged = append(acknowledged, data)
-			if r := c.Query("READ " + item); r.OK() && r.Rows[0] != data && !slices.Contains(unknown, r.Rows[0]) {
-				s.recordViolation("%s: read %s after a write of %s in the same session; its log: %v; writes without a known outcome: %v", item, r.Rows[0], data, lastOf(s.group.Committed(item), 5), unknown)
+			if r := c.Query("READ " + item); r.OK() && r.Rows[0] != data {
+				s.checkLateRead(item, w, r, unknown)
 			}
 		case slices.Contains(notExecutedCodes, w.Code()):
 			refused = append(refused, data)
 			time.Sleep(20 * time.Millisecond)
 		default:
-			unknown = append(unknown, data)
+			unknown = append(unknown, w)
 			c.Close()
 			c = s.openSession(rng, "session")
 		}
 	}
 }
 
+// checkLateRead checks a read that did not return the write that its session was
+// acknowledged last: it must have returned a write without a known outcome that ran late.
+func (s *soak) checkLateRead(item string, own ownWrite, read site.Reply, unknown []ownWrite) {
+	s.awaitPrimary()
+	commits := s.group.Commits(item)
+	i := slices.IndexFunc(unknown, func(w ownWrite) bool { return w.data == read.Rows[0] })
+	if i < 0 {
+		s.recordViolation("%s: read %s after a write of %s in the same session; its log: %v; writes without a known outcome: %v", item, read.Rows[0], own.data, lastOf(commits, 5), unknown)
+		return
+	}
+	trace, err := traceLateRead(unknown[i], own, read, s.group.Runs(), commits)
+	if err != nil {
+		s.recordViolation("%s: %s", item, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateReads = append(s.lateReads, item+": "+trace)
+}
+
 // lastOf returns the last n values.
-func lastOf(values []string, n int) []string {
+func lastOf[T any](values []T, n int) []T {
 	return values[max(0, len(values)-n):]
 }
 
@@ -397,6 +419,9 @@
 	for _, b := range s.violations {
 		s.t.Error(b)
 	}
+	for _, trace := range s.lateReads {
+		s.t.Log(trace)
+	}
 	calls := s.promotions.Calls()
 	s.t.Logf("%d requests served, %d promote calls", s.served.Load(), len(calls))
 	for i := 1; i < len(calls); i++ {
