Check in the stand-in that a tenant stays within its limit

TenantCheck finds the window in which the operations of a tenant came nearest to its limit, by the limits of the configurations that may have been applied in it.

--- a/internal/standin/site/tenantcheck.go
+++ b/internal/standin/site/tenantcheck.go
@@ -133,10 +133,9 @@
 	return wrong
 }
 
-// MostInWindow returns the highest number of operations of a tenant that ran in a group in
-// any window of the given length, and when that window began. A statement that ran again
-// counts once, and a transaction counts once.
-func MostInWindow(g *Group, tenant string, window time.Duration) (int, time.Time) {
+// operations returns when the operations of a tenant ran in a group. A statement that ran
+// again counts once, and a transaction counts once.
+func operations(g *Group, tenant string) []time.Time {
 	var times []time.Time
 	counted := map[string]bool{}
 	for _, r := range g.Runs() {
@@ -145,14 +144,61 @@
 			times = append(times, r.At)
 		}
 	}
-	most, begin, first := 0, time.Time{}, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > window {
+	return times
+}
+
+// LimitUse is how much of its limit a tenant used in a window.
+type LimitUse struct {
+	// Ran is the number of operations that ran in the window that ends at End, and Allowed
+	// how many may have run.
+	Ran     int
+	Allowed float64
+	End     time.Time
+}
+
+// Exceeded reports whether more operations ran than the limit allows.
+func (u LimitUse) Exceeded() bool { return float64(u.Ran) > u.Allowed }
+
+// HighestUse returns the window in which the operations of a tenant in a group exceeded its
+// limit most or came nearest to it. The limit of a window is the highest of the
+// configurations that may have been applied in it; a tenant without a limit has no such
+// window.
+func (c *TenantCheck) HighestUse(g *Group, tenant string, bounds TenantBounds) LimitUse {
+	times := operations(g, tenant)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	highest, first := LimitUse{Allowed: 1}, 0
+	for i, end := range times {
+		for end.Sub(times[first]) >= bounds.QuotaWindow {
 			first++
 		}
-		if n := i - first + 1; n > most {
-			most, begin = n, times[first]
+		limit, ok := c.highestLimit(tenant, end.Add(-bounds.QuotaWindow), end)
+		if !ok {
+			continue
+		}
+		use := LimitUse{Ran: i - first + 1, Allowed: bounds.Allowed(limit), End: end}
+		if float64(use.Ran)*highest.Allowed > float64(highest.Ran)*use.Allowed {
+			highest = use
+		}
+	}
+	return highest
+}
+
+// highestLimit returns the highest rate and burst of a tenant in the configurations that
+// may have been applied between two times. It returns false if one of them does not limit
+// the tenant. The caller holds mu.
+func (c *TenantCheck) highestLimit(tenant string, from, to time.Time) (Limit, bool) {
+	var highest Limit
+	for _, configuration := range c.inForce(from, to, math.MaxInt64) {
+		for _, t := range configuration.Tenants {
+			if t.Name != tenant {
+				continue
+			}
+			if t.Limit == nil {
+				return Limit{}, false
+			}
+			highest.Rate, highest.Burst = max(highest.Rate, t.Limit.Rate), max(highest.Burst, t.Limit.Burst)
 		}
 	}
-	return most, begin
+	return highest, true
 }
--- a/internal/standin/site/tenantcheck_test.go
+++ b/internal/standin/site/tenantcheck_test.go
@@ -116,16 +116,49 @@
 	})
 }
 
-func TestMostInWindow(t *testing.T) {
+// Guards against a check of limits that counts too little, or holds a new limit against
+// operations that an older one allowed.
+func TestHighestUse(t *testing.T) {
+	bounds := TenantBounds{QuotaWindow: 100 * time.Millisecond}
+	declare := func(c checkedGroup, version int, limit *Limit) {
+		c.Declare(Configuration{Version: version, Tenants: []Tenant{{Name: "a", Limit: limit}}})
+	}
 	Convey("A window counts each transaction once and no other tenant", t, func() {
 		c := newCheckedGroup(t, 0)
-		c.declare(1, "a")
-		c.run("a", "key", "READ k", "BEGIN", "WRITE k 1", "WRITE k 2", "COMMIT", "READ k")
+		declare(c, 1, &Limit{Rate: 10, Burst: 1})
+		c.run("a", "key", "READ k", "BEGIN", "WRITE k 1", "WRITE k 2", "COMMIT")
 		c.run("other", "key", "READ k")
-		n, _ := MostInWindow(c.group, "a", time.Minute)
-		So(n, ShouldEqual, 3)
-		n, _ = MostInWindow(c.group, "a", 0)
-		So(n, ShouldEqual, 1)
+		use := c.HighestUse(c.group, "a", bounds)
+		So(use.Ran, ShouldEqual, 2)
+		So(use.Allowed, ShouldEqual, 2)
+		So(use.Exceeded(), ShouldBeFalse)
+		c.run("a", "key", "READ k")
+		So(c.HighestUse(c.group, "a", bounds).Exceeded(), ShouldBeTrue)
+	})
+	Convey("Operations in different windows are not added up", t, func() {
+		c := newCheckedGroup(t, 0)
+		declare(c, 1, &Limit{Rate: 10, Burst: 1})
+		for range 2 {
+			c.run("a", "key", "READ k", "READ k")
+			time.Sleep(bounds.QuotaWindow)
+		}
+		So(c.HighestUse(c.group, "a", bounds).Exceeded(), ShouldBeFalse)
+	})
+	Convey("A lowered limit holds once the older version must not be applied", t, func() {
+		c := newCheckedGroup(t, 30*time.Millisecond)
+		declare(c, 1, &Limit{Rate: 100})
+		declare(c, 2, &Limit{Rate: 10})
+		c.run("a", "key", "READ k", "READ k")
+		So(c.HighestUse(c.group, "a", bounds).Exceeded(), ShouldBeFalse)
+		time.Sleep(2 * bounds.QuotaWindow)
+		c.run("a", "key", "READ k", "READ k")
+		So(c.HighestUse(c.group, "a", bounds).Exceeded(), ShouldBeTrue)
+	})
+	Convey("A tenant without a limit never exceeds it", t, func() {
+		c := newCheckedGroup(t, 0)
+		declare(c, 1, nil)
+		c.run("a", "key", "READ k", "READ k")
+		So(c.HighestUse(c.group, "a", bounds).Exceeded(), ShouldBeFalse)
 	})
 }
 
