--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -305,7 +305,8 @@
 	Tenant string
 	// Target is the ID of the target.
 	Target string
-	At     time.Time
+	// At is when the statement arrived at the target.
+	At time.Time
 	// First is true for a single statement and for the first statement of a transaction.
 	First bool
 	// ReadID is the ID of the write whose value a read returned, and ReadPosition that
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -53,6 +53,8 @@
 	target *Target
 	// tenant is the second field of START.
 	tenant string
+	// arrived is when the statement that runs arrived.
+	arrived time.Time
 	// values holds the session values, by name.
 	values map[string]string
 	// prepared holds the access and query of each prepared statement, by its name.
@@ -179,6 +181,7 @@
 // be closed without an answer.
 func (s *session) run(id, text string) (string, bool) {
 	g := s.target.group
+	s.arrived = time.Now()
 	statementTime := g.StatementTime
 	word, _, _ := strings.Cut(strings.TrimPrefix(text, "AFTER "), " ")
 	if statementTime > 0 && (word == "READ" || word == "WRITE" || word == "EXEC" || word == "COMMIT") {
@@ -289,7 +292,7 @@
 func (s *session) recordRun(id string) *Run {
 	t := s.target
 	t.runCounts[id]++
-	r := &Run{ID: id, Tenant: s.tenant, Target: t.ID, At: time.Now(), First: !s.inTransaction || !s.unitStarted}
+	r := &Run{ID: id, Tenant: s.tenant, Target: t.ID, At: s.arrived, First: !s.inTransaction || !s.unitStarted}
 	s.unitStarted = s.inTransaction
 	t.group.runs = append(t.group.runs, r)
 	return r
--- a/internal/standin/site/tenantcheck_test.go
+++ b/internal/standin/site/tenantcheck_test.go
@@ -79,9 +79,18 @@
 		c := newCheckedGroup(t, time.Minute)
 		c.revocation = 50 * time.Millisecond
 		c.declare(1, "a")
-		c.group.StatementTime = 100 * time.Millisecond
-		time.AfterFunc(20*time.Millisecond, func() { c.declare(2, "") })
-		c.run("a", "key", "READ k")
+		queued, err := ConnectWithKey(c.group.Targets[0].Address, "grp", "a")
+		So(err, ShouldBeNil)
+		defer queued.Close()
+		sent := time.Now()
+		queued.onSend = func(id string, _, _ time.Time) {
+			c.sent[id] = sentStatement{database: "grp", key: "key", unit: sent, at: sent}
+		}
+		c.declare(2, "")
+		So(queued.Query("READ k").OK(), ShouldBeTrue)
+		So(c.WrongTenants(c.group), ShouldBeEmpty)
+		time.Sleep(60 * time.Millisecond)
+		So(queued.Query("READ k").OK(), ShouldBeTrue)
 		So(c.WrongTenants(c.group), ShouldHaveLength, 1)
 	})
 	Convey("A transaction keeps its tenant when the key moves, a later unit does not", t, func() {
