Give the soak tenants, revocations and a tenant that overloads

The soak knew no keys and limits. Its callers have keys now, which are moved and revoked under the same faults as before, and limits change while one tenant sends about nine times its own. Statements under a wrong tenant or with a revoked key, and operations over the limit in any window, fail it.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -35,6 +35,10 @@
 	group      *site.Group
 	promotions *site.PromotionServer
 	vms        []*vm
+	check      *site.TenantCheck
+	load       tenantLoad
+	// outage is held while the store does not serve, and while the configuration changes.
+	outage sync.Mutex
 	// acknowledged is the highest number in the shared item whose commit was
 	// acknowledged.
 	acknowledged atomic.Int64
@@ -77,6 +81,8 @@
 	eras bool
 	// logs is the folder of the daemons' logs; empty for none.
 	logs string
+	// tenants are the tenants of the first configuration; nil for none.
+	tenants []site.Tenant
 }
 
 // newSoak starts the stand-ins and six daemons in three zones.
@@ -92,6 +98,7 @@
 	s.store, err = site.NewStore(s.ip)
 	check()
 	t.Cleanup(s.store.Close)
+	s.check = site.NewTenantCheck(s.store, site.ConfigurationTime, soakTenantBounds.RevocationTime)
 	s.store.SetEraAnnounced(s.eras)
 	s.configure(1, "current", "session")
 	s.group, err = site.NewGroup("grp", s.ip, []string{"north", "south", "west"}, 21, s.store)
@@ -107,21 +114,18 @@
 	return s
 }
 
-// configure writes a version of the configuration with the given routes.
+// configure writes a version of the configuration with the given routes and the tenants.
 func (s *soak) configure(version int, databases ...string) {
 	types := map[string]string{"session": "read_your_writes"}
-	routes := []any{}
+	c := site.Configuration{Version: version, Connections: map[string]int{"grp": 21}, Tenants: s.tenants}
 	for _, d := range databases {
 		kind, ok := types[d]
 		if !ok {
 			kind = "primary"
 		}
-		routes = append(routes, map[string]any{"host": d, "route_type": kind, "timeout_ms": 2000, "target_latency_ms": 2000, "service": "grp", "max_staleness_ms": 1000})
+		c.Routes = append(c.Routes, site.Route{Database: d, Type: kind, Group: "grp"})
 	}
-	s.store.Put("config", "main", map[string]any{
-		"version": version, "services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
-		"routes": routes, "limits": map[string]any{"tx_idle_ms": 3000},
-	})
+	s.check.Declare(c)
 }
 
 // Ports of the daemons. They are below those that the system assigns to connections: a
@@ -138,10 +142,12 @@
 	ports := []int{first, first + 1, first + 2}
 	regions := map[string]string{"north": "home", "south": "home", "west": "away"}
 	v := &vm{name: name, settingsPath: filepath.Join(s.t.TempDir(), name+".json"), callerAddress: s.ip + ":" + strconv.Itoa(ports[0])}
+	bounds := map[string]any{"grace_s": 2}
+	soakTenantBounds.AddTo(bounds)
 	v.settings = map[string]any{
 		"node_name": name, "ip": s.ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": v.callerAddress, "ready": s.ip + ":" + strconv.Itoa(ports[1])},
-		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": map[string]any{"grace_s": 2},
+		"port_range": []int{ports[2], ports[2]}, "heartbeat_ms": 1000, "bounds": bounds,
 		"platform": map[string]any{"addr": s.store.Address, "form": "objects"}, "cloud": map[string]any{"addr": s.promotions.Address},
 	}
 	s.writeSettings(v, firstStart)
@@ -216,9 +222,11 @@
 			time.Sleep(200*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond))))
 			_ = v.process.Process.Signal(syscall.SIGCONT)
 		case 3:
+			s.outage.Lock()
 			s.store.SetFault([]site.Fault{site.Unavailable, site.Unresponsive, site.AnswersLost}[rng.IntN(3)])
 			time.Sleep(time.Duration(rng.Int64N(int64(2 * time.Second))))
 			s.store.SetFault(site.Healthy)
+			s.outage.Unlock()
 		case 4:
 			s.group.SetLag(1+rng.IntN(2), time.Duration(rng.Int64N(int64(500*time.Millisecond))))
 		case 5:
@@ -227,20 +235,29 @@
 	}
 }
 
-// openSession opens a session at a random daemon and retries until one accepts it.
-func (s *soak) openSession(rng *rand.Rand, database string) *site.Caller {
+// openSession opens a session with a key at a random daemon and retries until one accepts
+// it. The key must have an owner.
+func (s *soak) openSession(rng *rand.Rand, database, key string) *site.Caller {
 	for {
-		c, err := site.Connect(s.vms[rng.IntN(len(s.vms))].callerAddress, database)
+		c, err := s.check.Connect(s.vms[rng.IntN(len(s.vms))].callerAddress, database, key)
 		if err == nil && c.Refused == "" {
 			return c
 		}
 		if err == nil {
+			s.checkKeyAccepted(key, c.Refused)
 			c.Close()
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// checkKeyAccepted records a violation if a refusal says that a key has no owner.
+func (s *soak) checkKeyAccepted(key, refusal string) {
+	if strings.HasPrefix(refusal, "ERR NOAUTH") {
+		s.recordViolation("key %s, which has an owner, is refused: %s", key, refusal)
+	}
+}
+
 // notExecutedCodes are the error codes that guarantee that the write is not committed.
 var notExecutedCodes = []string{"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGNODE", "TOOMANY"}
 
@@ -261,10 +278,10 @@
 // back in the same session. A write without a known outcome may run late, as
 // node.TestWriteWithoutAnswer shows, and may be read then. At the end it checks that
 // acknowledged writes are committed and refused ones are not.
-func (s *soak) writeOwnItem(item string, rng *rand.Rand, stop chan struct{}) {
+func (s *soak) writeOwnItem(item, key string, rng *rand.Rand, stop chan struct{}) {
 	var acknowledged, refused []string
 	var unknown []ownWrite
-	c := s.openSession(rng, "session")
+	c := s.openSession(rng, "session", key)
 	for n := 1; ; n++ {
 		select {
 		case <-stop:
@@ -301,9 +318,10 @@
 			refused = append(refused, data)
 			time.Sleep(20 * time.Millisecond)
 		default:
+			s.checkKeyAccepted(key, w.Completion)
 			unknown = append(unknown, w)
 			c.Close()
-			c = s.openSession(rng, "session")
+			c = s.openSession(rng, "session", key)
 		}
 	}
 }
@@ -335,7 +353,7 @@
 
 // writeSharedItem writes increasing numbers to the shared item, each in a transaction.
 func (s *soak) writeSharedItem(rng *rand.Rand, stop chan struct{}) {
-	c := s.openSession(rng, "current")
+	c := s.openSession(rng, "current", soakKeys[0])
 	for n := int64(1); ; n++ {
 		select {
 		case <-stop:
@@ -347,7 +365,7 @@
 			continue
 		}
 		c.Close()
-		c = s.openSession(rng, "current")
+		c = s.openSession(rng, "current", soakKeys[0])
 	}
 }
 
@@ -366,7 +384,7 @@
 // readSharedItem reads the shared item and checks that no read returns less than the
 // number acknowledged before the read began.
 func (s *soak) readSharedItem(rng *rand.Rand, stop chan struct{}) {
-	c := s.openSession(rng, "current")
+	c := s.openSession(rng, "current", soakKeys[0])
 	for {
 		select {
 		case <-stop:
@@ -377,7 +395,7 @@
 		r := c.Query("READ shared")
 		if !r.OK() {
 			c.Close()
-			c = s.openSession(rng, "current")
+			c = s.openSession(rng, "current", soakKeys[0])
 			continue
 		}
 		s.served.Add(1)
@@ -390,11 +408,19 @@
 // TestPlatformSoak guards the consistency guarantees under random faults: writes that
 // are lost, run twice or commit after a refusal, stale reads, and overlapping
 // promotions. The seeded faults are killed, stopped and suspended processes, outages of
-// the store, lagging replicas and lost answers.
+// the store, lagging replicas and lost answers. It guards tenants too, while keys and
+// limits change and one tenant overloads the fleet: statements under a wrong tenant or with
+// a revoked key, and operations over a limit.
 func TestPlatformSoak(t *testing.T) {
 	const seed = 1
-	s := newSoak(t, soakOptions{ip: "127.0.99.1"})
-	s.run(seed, soakDuration, func(rng *rand.Rand, stop chan struct{}) { s.injectFaults(rng, stop) })
+	s := newSoak(t, soakOptions{ip: "127.0.99.1", tenants: soakTenants(firstChanges)})
+	s.run(seed, soakDuration, func(rng *rand.Rand, stop chan struct{}) {
+		var wg sync.WaitGroup
+		s.runTenants(seed, &wg, stop)
+		s.injectFaults(rng, stop)
+		wg.Wait()
+	})
+	s.checkTenants()
 	if s.served.Load() < 500 {
 		t.Errorf("%d requests served, want 500 or more", s.served.Load())
 	}
@@ -407,7 +433,7 @@
 	var wg sync.WaitGroup
 	source := func(i uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, i)) }
 	for i := range soakCallers {
-		wg.Go(func() { s.writeOwnItem(fmt.Sprint("own", i), source(uint64(i)), stop) })
+		wg.Go(func() { s.writeOwnItem(fmt.Sprint("own", i), soakKeys[i%len(soakKeys)], source(uint64(i)), stop) })
 	}
 	wg.Go(func() { s.writeSharedItem(source(100), stop) })
 	wg.Go(func() { s.readSharedItem(source(101), stop) })
