--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -27,11 +27,17 @@
 	// firstStart makes daemons started from now on take part in the first start of the
 	// system.
 	firstStart bool
-	// refusingStore is the address of a store that refuses all calls; daemons started from
+	// refusingStore is the address of a store that may refuse calls; daemons started from
 	// now on use it if it is set.
 	refusingStore string
 	// tenantBounds are the settings about tenants of daemons started from now on.
 	tenantBounds site.TenantBounds
+	// tenants maps the tenants of later configurations to their keys; nil means a deployment
+	// without tenants.
+	tenants map[string][]string
+	// strictRevocation, if not zero, is the time of strict revocation at daemons started
+	// from now on.
+	strictRevocation time.Duration
 	// metricsListen is the metrics address of daemons started from now on; empty for
 	// none.
 	metricsListen string
@@ -99,18 +105,34 @@
 		})
 	}
 	tc.version++
-	tc.store.Put("config", "main", map[string]any{
+	configuration := map[string]any{
 		"version": tc.version, "routes": routes,
 		"services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
 		"limits":   map[string]any{"tx_idle_ms": 3000},
-	})
+	}
+	if tc.tenants != nil {
+		site.AddTenants(configuration, tc.tenants)
+	}
+	tc.store.Put("config", "main", configuration)
 }
 
 // start starts a daemon on free ports.
 func (tc *testCluster) start(name, zone string) *Node {
+	tc.t.Helper()
+	return tc.startOn(name, zone, freePorts(tc.t, "127.0.0.1", 3))
+}
+
+// restart starts a daemon that was killed again, with its name and addresses.
+func (tc *testCluster) restart(n *Node) *Node {
+	tc.t.Helper()
+	s := n.settings
+	return tc.startOn(s.Name, s.FailureDomain, []int{int(s.CallerAddress.Port()), int(s.ReadyAddress.Port()), s.FirstPort})
+}
+
+// startOn starts a daemon on the given ports for callers, probes and peers.
+func (tc *testCluster) startOn(name, zone string, ports []int) *Node {
 	tc.t.Helper()
 	ip := "127.0.0.1"
-	ports := freePorts(tc.t, ip, 3)
 	regions := map[string]string{"north": "home", "south": "home", "west": "away"}
 	storeAddress := tc.store.Address
 	if tc.refusingStore != "" {
@@ -118,6 +140,9 @@
 	}
 	bounds := map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()}
 	tc.tenantBounds.AddTo(bounds)
+	if tc.strictRevocation > 0 {
+		site.SetStrictRevocation(bounds, tc.strictRevocation)
+	}
 	settings := map[string]any{
 		"node_name": name, "ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
 		"listen":     map[string]string{"front": fmt.Sprintf("%s:%d", ip, ports[0]), "ready": fmt.Sprintf("%s:%d", ip, ports[1])},
@@ -193,7 +218,13 @@
 // connect opens a session to a database at a daemon.
 func (tc *testCluster) connect(n *Node, database string) *caller {
 	tc.t.Helper()
-	c, err := site.Connect(n.settings.CallerAddress.String(), database)
+	return tc.connectWithKey(n, database, "test")
+}
+
+// connectWithKey opens a session to a database at a daemon with an API key.
+func (tc *testCluster) connectWithKey(n *Node, database, key string) *caller {
+	tc.t.Helper()
+	c, err := site.ConnectWithKey(n.settings.CallerAddress.String(), database, key)
 	if err != nil {
 		tc.t.Fatal(err)
 	}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -32,8 +33,17 @@
 	slowWatchWait = 10 * time.Second
 	// watchSlack is how long after its wait a watch without an answer counts as lost.
 	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds the hedged attempts of one list call.
-	listTimeout = 2 * time.Second
+	// listTimeout bounds the hedged attempts of one list call until an answer begins, and
+	// listTransferTimeout bounds them in all.
+	listTimeout         = 2 * time.Second
+	listTransferTimeout = 4 * time.Second
+	// relayPatience is how long a daemon without a copy asks relays before it lists the
+	// objects from the store itself. The delay is doubled at random, so that the daemons of
+	// a fleet whose relays fail don't call the store at the same time.
+	relayPatience = 1500 * time.Millisecond
+	// directListVMs is the number of VMs of a failure domain up to which a daemon without
+	// a copy does not wait for its relay: so few lists load neither the store nor a link.
+	directListVMs = 4
 	// batchPause is the time between an answer with changes and the next watch, so that
 	// changes in quick succession need one call.
 	batchPause = 100 * time.Millisecond
@@ -42,6 +52,9 @@
 	// calls cover the case that the store refuses only the relay.
 	firstFallbackPause = 300 * time.Millisecond
 	maxFallbackPause   = 2 * time.Second
+	// otherDomainWait is how long a watch at a relay of another failure domain waits for a
+	// change after a failed call to the store. Meanwhile the store is not called.
+	otherDomainWait = 500 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -54,9 +67,15 @@
 	// RelayOutdated records that a relay had no current copy, so that another one is
 	// followed.
 	RelayOutdated(name string)
+	// DomainSize returns the number of VMs of this failure domain, and false as long as
+	// they are not known.
+	DomainSize() (int, bool)
 	// JoiningFor returns how much longer the founder of the failure domain acts as its relay,
 	// not positive if it does not.
 	JoiningFor() time.Duration
+	// AlternativeRelay returns the client of a relay other than this daemon, nil if none
+	// is known.
+	AlternativeRelay() *peer.Client
 	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
 	// none is known.
 	NearestOtherRelay() *peer.Client
@@ -77,6 +96,9 @@
 	// fallbackPause is the pause after the last failed call of a follower to the store,
 	// and nextFallback is when the next one may be made, since boot.
 	fallbackPause, nextFallback time.Duration
+	// firstListAt is when a follower without a copy may list the objects from the store,
+	// since boot; 0 if it has not asked a relay yet.
+	firstListAt time.Duration
 	// onReplace is called with all objects, onChange with each changed object.
 	onReplace func([]store.Object)
 	onChange  func(store.Object)
@@ -86,6 +108,16 @@
 	// onEra is called before the first objects of a later era than the last known one are
 	// delivered, with the time since the last answer of the earlier era; it may be nil.
 	onEra func(era store.Era, sinceAnswer time.Duration)
+	// redact, if not nil, returns an object without its secrets. It is applied to each
+	// object before it is kept, delivered or sent to other daemons.
+	redact func(store.Object) store.Object
+	// onConfirmed is called with the time since boot at which the delivered objects were
+	// last known to be current; it may be nil.
+	onConfirmed func(asOf time.Duration)
+	// acrossDomains makes the feed ask a relay of another failure domain if neither the
+	// relay of its own nor the store answers. otherAnswered reports whether the last such
+	// call got an answer.
+	acrossDomains, otherAnswered bool
 	// answeredAt is when the last answer came, since boot.
 	answeredAt time.Duration
 }
@@ -140,43 +172,128 @@
 			// All daemons turn from the founder to the relay at the same time.
 			wait = min(wait, joiningFor)
 		}
-		answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
-		if err == nil && !continues(from, answer) {
-			err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
-		}
+		next, err := f.pollRelay(ctx, relay, from, wait)
 		if err == nil {
-			f.fallbackPause, f.nextFallback = 0, 0
-			// This daemon may become the relay; its copy must be complete then.
-			if answer.Complete {
-				f.mirror.replace(fromRelay, answer.Page)
-			} else {
-				f.mirror.change(fromRelay, answer.Page)
-			}
-			f.deliver(ctx, from.Era, answer.Complete, answer.Page)
-			return answer.Page.Point(), nil
-		}
-		if errors.Is(err, peer.ErrNotCurrent) {
-			f.relays.RelayOutdated(relay.Name())
+			f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
+			return next, nil
 		}
-		if joiningFor > 0 || from.Revision != 0 && boottime.Now() < f.nextFallback {
+		pause := f.nextFallback - boottime.Now()
+		if joiningFor > 0 || from.Revision != 0 && pause > 0 || from.Revision == 0 && f.waitsForRelay() {
+			if f.otherAnswered {
+				if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
+					return next, nil
+				}
+			}
 			return from, fmt.Errorf("%w: %w", errNoSource, err)
 		}
 	}
+	if from.Revision == 0 {
+		f.mirror.setLoading(true)
+		defer f.mirror.setLoading(false)
+	}
 	wait := f.wait
 	if relay == nil && !f.mirror.isCurrent() {
 		// Until the first answer, the followers of a new relay call the store themselves.
 		wait = 0
 	}
 	next, err := f.pollStore(ctx, from, wait)
+	if err != nil && relay == nil && from.Revision == 0 {
+		if next, ok := f.pollAlternative(ctx, from); ok {
+			return next, nil
+		}
+	}
 	if err != nil && relay != nil {
 		f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
 		f.nextFallback = boottime.Now() + f.fallbackPause
 	} else {
 		f.fallbackPause, f.nextFallback = 0, 0
 	}
+	if err != nil && isUnanswered(err) {
+		if next, ok := f.pollOtherDomain(ctx, from, otherDomainWait); ok {
+			return next, nil
+		}
+	}
 	return next, err
 }
 
+// pollAlternative gets the objects from another relay, for a relay without a copy: the
+// store may refuse its VM and serve others. It reports whether there was one.
+func (f *feed) pollAlternative(ctx context.Context, from store.Point) (store.Point, bool) {
+	if f.relays == nil {
+		return from, false
+	}
+	relay := f.relays.AlternativeRelay()
+	if relay == nil {
+		return from, false
+	}
+	next, err := f.pollRelay(ctx, relay, from, 0)
+	return next, err == nil
+}
+
+// pollOtherDomain makes one watch call to a relay of another failure domain, if the feed
+// is acrossDomains, and reports whether it got an answer.
+func (f *feed) pollOtherDomain(ctx context.Context, from store.Point, wait time.Duration) (store.Point, bool) {
+	f.otherAnswered = false
+	if !f.acrossDomains {
+		return from, false
+	}
+	relay := f.relays.NearestOtherRelay()
+	if relay == nil {
+		return from, false
+	}
+	next, err := f.pollRelay(ctx, relay, from, wait)
+	f.otherAnswered = err == nil
+	return next, err == nil
+}
+
+// isUnanswered reports whether an error of a call to the store tells nothing of its content.
+func isUnanswered(err error) bool {
+	return !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrEraChanged)
+}
+
+// pollRelay makes one watch call to a relay and returns the point to continue from.
+func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, from store.Point, wait time.Duration) (store.Point, error) {
+	started := boottime.Now()
+	answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
+	if err == nil && !continues(from, answer) {
+		err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
+	}
+	if errors.Is(err, peer.ErrNotCurrent) {
+		f.relays.RelayOutdated(relay.Name())
+	}
+	if err != nil {
+		return from, err
+	}
+	f.redactPage(answer.Page)
+	// This daemon may become the relay; its copy must be complete then.
+	if answer.Complete {
+		f.mirror.replace(fromRelay, answer.Page)
+	} else {
+		f.mirror.change(fromRelay, answer.Page)
+	}
+	f.deliver(ctx, from.Era, answer.Complete, answer.Page)
+	// The relay got the request after started, so the true time is not before this one.
+	f.confirm(started + answer.ConfirmedAfter)
+	return answer.Page.Point(), nil
+}
+
+// redactPage redacts the objects of a page.
+func (f *feed) redactPage(page store.Page) {
+	if f.redact == nil {
+		return
+	}
+	for i, o := range page.Objects {
+		page.Objects[i] = f.redact(o)
+	}
+}
+
+// confirm calls onConfirmed if there is one.
+func (f *feed) confirm(asOf time.Duration) {
+	if f.onConfirmed != nil {
+		f.onConfirmed(min(asOf, boottime.Now()))
+	}
+}
+
 // continues reports whether the answer of a relay continues the history from a point: it
 // tells what changed in the same era, or all objects of that era or a later one. A relay of
 // an earlier version tells no era.
@@ -192,14 +309,14 @@
 func (f *feed) pollStore(ctx context.Context, from store.Point, wait time.Duration) (store.Point, error) {
 	started := boottime.Now()
 	if from.Revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		page, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+		page, err := f.list(ctx)
 		if err != nil {
 			return from, err
 		}
+		f.redactPage(page)
 		f.mirror.replace(started, page)
 		f.deliver(ctx, from.Era, true, page)
+		f.confirm(started)
 		return page.Point(), nil
 	}
 	watch, cancel := context.WithTimeout(ctx, wait+watchSlack)
@@ -208,12 +325,43 @@
 	if err != nil {
 		return from, err
 	}
-	f.mirror.change(boottime.Now(), page)
+	answered := boottime.Now()
+	f.redactPage(page)
+	f.mirror.change(answered, page)
 	f.deliver(ctx, from.Era, false, page)
+	f.confirm(answered)
 	page.Revision = max(page.Revision, from.Revision)
 	return page.Point(), nil
 }
 
+// list gets all objects from the store.
+func (f *feed) list(ctx context.Context) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTransferTimeout)
+	defer cancel()
+	ctx, answering := withAnswerProgress(ctx)
+	unanswered := time.AfterFunc(listTimeout, func() {
+		if !answering() {
+			cancel()
+		}
+	})
+	defer unanswered.Stop()
+	return hedge(ctx, hedgeInterval, answering, func(ctx context.Context) (store.Page, error) { return f.objects.List(ctx, f.kind) })
+}
+
+// waitsForRelay reports whether a follower without a copy, whose relay has not given it
+// one, leaves the store to the relay for now. As long as the VMs are not known there is no
+// relay, only a daemon that happens to have connected to this one.
+func (f *feed) waitsForRelay() bool {
+	if size, known := f.relays.DomainSize(); !known || size <= directListVMs {
+		return false
+	}
+	now := boottime.Now()
+	if f.firstListAt == 0 {
+		f.firstListAt = now + relayPatience + rand.N(relayPatience)
+	}
+	return now < f.firstListAt
+}
+
 // logSourceChange logs the source that the feed follows if it has changed.
 func (f *feed) logSourceChange(relay *peer.Client) {
 	source := "store"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	options       Options
 	settings      platform.Settings
 	configuration catalog.Holder
+	confirmation  *catalog.Confirmation
 	registry      *backend.Registry
 	frontend      *frontend.Server
 	members       *membership.Members
@@ -119,7 +120,10 @@
 	default:
 		return nil, fmt.Errorf("log: %.40q is neither %s nor %s", o.Log, LogAll, LogNone)
 	}
-	n := &Node{options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress, log)}
+	n := &Node{
+		options: o, settings: settings, log: log, store: platform.NewStore(settings.StoreAddress, log),
+		confirmation: catalog.NewConfirmation(settings.RevocationTime),
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.promotionLock = failover.NewLockManager(n.store, settings.Name, uuid.NewString(), n.log)
 	promoter := &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
@@ -142,7 +146,7 @@
 	n.promotionLock.SetSettler(n.settleGroups)
 	relayReader.relays, peers.members = n.members, n.members
 	n.mirrors = mirrors{
-		platform.KindConfiguration: newMirror(watchWait), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
+		platform.KindConfiguration: newMirror(configurationWait(settings)), platform.KindTargets: newMirror(watchWait), membership.KindVM: newMirror(slowWatchWait),
 	}
 	n.limiter = ratelimit.New(ratelimit.Options{
 		Self: settings.Name, Domain: settings.FailureDomain, Regions: settings.Regions, Slack: settings.QuotaSlack, Network: n.members, Now: boottime.Now, Log: n.log,
@@ -154,6 +158,9 @@
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
 		Wrap:        func(c net.Conn) frontend.Conn { return platform.NewCallerConn(c) },
 	}
+	if settings.StrictRevocation {
+		n.frontend.Confirmation = n.confirmation
+	}
 	return n, nil
 }
 
@@ -225,11 +232,40 @@
 			n.log.StateChange("founder_unknown", "error", err.Error())
 		}
 	}
-	for _, f := range []*feed{n.configurationFeed(), n.targetFeed(), n.vmFeed()} {
+	vms := n.vmFeed()
+	n.loops.Go(func() { vms.run(n.ctx) })
+	n.waitForSource()
+	for _, f := range []*feed{n.configurationFeed(), n.targetFeed()} {
 		n.loops.Go(func() { f.run(n.ctx) })
 	}
 }
 
+// Limits of the wait for the list of VMs.
+const (
+	// sourceTimeout bounds the wait. A store that does not answer this list in that time
+	// may still answer for other objects.
+	sourceTimeout = 2 * time.Second
+	// contactDelay is how long a daemon waits before it follows a contact instead: any
+	// daemon may have connected to it, not only one with a current copy.
+	contactDelay = 600 * time.Millisecond
+	// sourcePollInterval is the time between checks.
+	sourcePollInterval = 5 * time.Millisecond
+)
+
+// waitForSource waits until the daemon knows which VM to follow. The list of VMs is small;
+// the configuration and the list of targets may be large, and a daemon gets them from its
+// relay if it has one.
+func (n *Node) waitForSource() {
+	started := boottime.Now()
+	for n.ctx.Err() == nil && !n.members.Known() {
+		waited := boottime.Now() - started
+		if waited >= sourceTimeout || waited >= contactDelay && n.members.HasContact() {
+			return
+		}
+		ctxtime.Sleep(n.ctx, sourcePollInterval)
+	}
+}
+
 // serveHTTP serves until s is closed; another error is logged.
 func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -59,6 +59,7 @@
 	changed        chan struct{}            // guarded by mu; closed and replaced at each change
 	fault          Fault                    // guarded by mu
 	callCounts     map[string]int           // guarded by mu; key is method and kind, such as "GET servers"
+	lists          map[string]int           // guarded by mu; listings begun, by kind
 	delays         map[string]time.Duration // guarded by mu; of the answers to calls, by kind
 	era            uint64                   // guarded by mu; announced in every answer
 	announcesEra   bool                     // guarded by mu
@@ -74,7 +75,7 @@
 	}
 	s := &Store{
 		Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}),
-		callCounts: map[string]int{}, delays: map[string]time.Duration{}, era: 1,
+		callCounts: map[string]int{}, delays: map[string]time.Duration{}, lists: map[string]int{}, era: 1,
 	}
 	s.keepCopy()
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
@@ -111,6 +112,13 @@
 	s.notifyWatchers()
 }
 
+// ListCount returns how many listings of a kind were begun.
+func (s *Store) ListCount(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists[kind]
+}
+
 // CallCount returns how many calls of a method and kind, such as "GET servers", were
 // made.
 func (s *Store) CallCount(name string) int {
@@ -214,6 +222,9 @@
 	defer s.mu.Unlock()
 	switch {
 	case r.Method == http.MethodGet && name == "":
+		if !r.URL.Query().Has("after") {
+			s.lists[kind]++
+		}
 		return http.StatusOK, s.list(kind, r.URL.Query().Get("after"))
 	case r.Method == http.MethodGet:
 		if o := s.objects[kind+"/"+name]; o != nil && !o.deleted {
