--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -30,6 +30,8 @@
 	// refusingStore is the address of a store that may refuse calls; daemons started from
 	// now on use it if it is set.
 	refusingStore string
+	// tenantBounds are the settings about tenants of daemons started from now on.
+	tenantBounds site.TenantBounds
 	// tenants maps the tenants of later configurations to their keys; nil means a deployment
 	// without tenants.
 	tenants map[string][]string
@@ -62,7 +64,7 @@
 // and waits until the daemons are ready and consider their lists of targets complete.
 func newTestCluster(t *testing.T, zones ...string) *testCluster {
 	t.Helper()
-	tc := &testCluster{t: t}
+	tc := &testCluster{t: t, tenantBounds: site.DefaultTenantBounds}
 	var err error
 	if tc.store, err = site.NewStore("127.0.0.1"); err != nil {
 		t.Fatal(err)
@@ -137,6 +139,7 @@
 		storeAddress = tc.refusingStore
 	}
 	bounds := map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()}
+	tc.tenantBounds.AddTo(bounds)
 	if tc.strictRevocation > 0 {
 		site.SetStrictRevocation(bounds, tc.strictRevocation)
 	}
