Keep a key sent in place of the database name out of the log

A caller that swapped the fields of START got its key into the log line session_refused. Names without a route are now logged only where the configuration in force has no tenants.

--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -58,6 +58,19 @@
 	return reasonNoRoute
 }
 
+// loggedDatabase returns the name of a database for the log. It is empty for a name without
+// a route unless the deployment is known to have no tenants, because the caller may have
+// sent its key in place of the name.
+func loggedDatabase(c *catalog.Configuration, database string) string {
+	if c == nil {
+		return ""
+	}
+	if _, ok := c.Routes[database]; !ok && c.Tenants != nil {
+		return ""
+	}
+	return database
+}
+
 // errKeyRevoked is the reason of a session that is ended because its key was revoked.
 var errKeyRevoked = errors.New("key revoked")
 
--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -247,6 +248,30 @@
 	})
 }
 
+// Guards against a key that leaks through the log because its caller sent it in place of the
+// name of the database.
+func TestKeyInPlaceOfDatabase(t *testing.T) {
+	cases := map[string]struct {
+		configuration *catalog.Configuration
+		logged        bool
+	}{
+		"with tenants":                   {tenantConfiguration(1, map[string][]string{"a": {"key-a"}}), false},
+		"without tenants":                {&catalog.Configuration{Version: 1}, true},
+		"before the first configuration": {nil, false},
+	}
+	for name, c := range cases {
+		Convey("The log of a deployment "+name, t, func() {
+			a := newAccessTest(c.configuration)
+			conn, code := a.connect("key-a", "")
+			So(code, ShouldNotEqual, query.OK)
+			So(conn.isClosedWithin(time.Second), ShouldBeTrue)
+			log := a.written()
+			So(log, ShouldContainSubstring, "session_refused")
+			So(strings.Contains(log, "key-a"), ShouldEqual, c.logged)
+		})
+	}
+}
+
 func TestMovedKey(t *testing.T) {
 	one := tenantConfiguration(1, map[string][]string{"a": {"key"}, "b": nil})
 	// Guards against a tenant that is looked up only at the start of a session, and against
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -150,10 +150,10 @@
 	}
 	current := s.Configuration.Current()
 	if isStale(current, s.Confirmation, database) {
-		return nil, s.refuseStart(c, database, query.Busy, reasonStale)
+		return nil, s.refuseStart(c, loggedDatabase(current, database), query.Busy, reasonStale)
 	}
 	if _, code := lookUpAccess(current, database, digest); code != query.OK {
-		return nil, s.refuseStart(c, database, code, accessReason(code))
+		return nil, s.refuseStart(c, loggedDatabase(current, database), code, accessReason(code))
 	}
 	if err := c.WriteReady(); err != nil {
 		return nil, err
@@ -166,7 +166,8 @@
 	reasonNoRoute: "no route to this database", reasonUnknownKey: "the key is unknown", reasonStale: "not run: " + reasonStale,
 }
 
-// refuseStart refuses a new session and returns the reason.
+// refuseStart refuses a new session and returns the reason. database must be fit for the
+// log.
 func (s *Server) refuseStart(c Conn, database string, code query.Code, reason string) error {
 	if reason != reasonNoRoute {
 		requestmetrics.Refused(reason)
