Don't restart the time of an idle transaction when its session is woken

Each new configuration wakes the sessions of public routes, and the time for which their open transaction may be idle began again. It now counts from the moment at which the session began to wait for its caller.

--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -443,6 +443,28 @@
 	})
 }
 
+// Guards against an idle transaction that is kept because each new configuration wakes its
+// session and restarts the time for which it may be idle.
+func TestTransactionIdleDuringChanges(t *testing.T) {
+	Convey("A transaction on a public route expires although the configuration changes", t, func() {
+		configuration := func(version uint64) *catalog.Configuration {
+			c := tenantConfiguration(version, map[string][]string{"a": {"key"}})
+			c.TransactionIdle = 150 * time.Millisecond
+			return c
+		}
+		a := newAccessTest(configuration(1))
+		conn, _ := a.connect("open", "")
+		conn.query(t, query.Begin, "")
+		conn.query(t, query.Write, "w")
+		So(a.home.units(), ShouldEqual, 1)
+		for version := uint64(2); version < 12; version++ {
+			time.Sleep(50 * time.Millisecond)
+			a.apply(configuration(version))
+		}
+		So(a.home.units(), ShouldEqual, 0)
+	})
+}
+
 // eventually fails the test if condition does not hold within two seconds.
 func eventually(condition func() bool) {
 	deadline := time.Now().Add(2 * time.Second)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -234,8 +234,9 @@
 // sent no statement.
 func (s *Server) readStatement(ses *sessionConn) (query.Statement, error) {
 	revoked := false
+	idleSince := time.Now()
 	for {
-		idleUntil, err := s.setReadDeadline(ses)
+		idleUntil, err := s.setReadDeadline(ses, idleSince)
 		if err != nil {
 			return query.Statement{}, err
 		}
@@ -284,8 +285,9 @@
 )
 
 // setReadDeadline marks the session as waiting for its caller and sets the read deadline.
-// It returns the time at which an open transaction expires as idle, zero for none.
-func (s *Server) setReadDeadline(ses *sessionConn) (time.Time, error) {
+// idleSince is when the session began to wait. It returns the time at which an open
+// transaction expires as idle, zero for none.
+func (s *Server) setReadDeadline(ses *sessionConn, idleSince time.Time) (time.Time, error) {
 	var idleUntil, deadline time.Time
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
@@ -299,9 +301,9 @@
 		}
 	case s.endingTransactions.Load():
 		deadline = time.Now().Add(failedTransactionTimeout)
-	default:
+	case ses.state.state() == query.Open:
 		if c := s.Configuration.Current(); c != nil && c.TransactionIdle > 0 {
-			idleUntil = time.Now().Add(c.TransactionIdle)
+			idleUntil = idleSince.Add(c.TransactionIdle)
 			deadline = idleUntil
 		}
 	}
