Bound the times of limits near 0, which overflowed

The time until the next token of a limit of 1e-12 operations a second is longer than a time.Duration can hold. The conversion gave a time in the past: callers were told to retry after 1 ms.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -272,7 +272,7 @@
 		rate := a.supply(now)
 		first := now
 		if rate > 0 {
-			first += time.Duration(max(0, 1-a.tokens.balance) / rate * float64(time.Second))
+			first += accrualTime(1-a.tokens.balance, rate)
 		}
 		d.RetryAfter, d.RetryStep = a.retries.assign(now, first, w.open, rate)
 	}
@@ -451,7 +451,7 @@
 	if a.tokens.rate <= 0 {
 		return maxBackoff
 	}
-	return min(maxBackoff, max(firstBackoff/10, time.Duration(tokens/a.tokens.rate*float64(time.Second))))
+	return min(maxBackoff, max(firstBackoff/10, accrualTime(tokens, a.tokens.rate)))
 }
 
 // NextWake returns when the account may go on with the operations that wait, if that is soon
@@ -463,7 +463,7 @@
 	}
 	at = now + prospectHorizon + 1
 	if a.tokens.rate > 0 {
-		at = now + time.Duration(max(0, 1-a.tokens.balance)/a.tokens.rate*float64(time.Second)) + 1
+		at = now + accrualTime(1-a.tokens.balance, a.tokens.rate) + 1
 	}
 	for _, p := range a.partners {
 		if p.mayHaveTokens(now, now+prospectHorizon) {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -88,6 +88,15 @@
 	return b.balance >= b.capacity-tokenEpsilon
 }
 
+// maxAccrualTime limits the result of accrualTime, which would overflow for a rate near 0.
+const maxAccrualTime = 24 * time.Hour
+
+// accrualTime returns the time in which a rate above 0 yields a number of tokens, at most
+// maxAccrualTime.
+func accrualTime(tokens, rate float64) time.Duration {
+	return time.Duration(min(maxAccrualTime.Seconds(), max(0, tokens)/rate) * float64(time.Second))
+}
+
 // meter estimates the rate of events by an average that decays exponentially with the time
 // constant decay.
 type meter struct {
@@ -148,7 +157,7 @@
 	if rate <= 0 {
 		return RetryHorizon, 0
 	}
-	step = min(RetryHorizon, time.Duration(float64(time.Second)/rate))
+	step = min(RetryHorizon, accrualTime(1, rate))
 	if s.next < first {
 		s.next = first
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -86,6 +86,22 @@
 	})
 }
 
+// Guards against times that overflow: a valid limit may be so low that the next token comes
+// after centuries.
+func TestTimesOfTinyLimit(t *testing.T) {
+	Convey("Times of a limit near 0 are long and not in the past", t, func() {
+		const now = time.Minute
+		a := NewAccount(0, two, Limit{Rate: 1e-12, Burst: 1}, nil, 0)
+		So(take(a, 0, 1).Granted, ShouldEqual, 1)
+		for range 3 {
+			d := take(a, now, 1)
+			So(d.RetryAfter, ShouldBeGreaterThan, time.Hour)
+			So(d.RetryStep, ShouldEqual, RetryHorizon)
+		}
+		So(a.refillTime(minTransfer), ShouldEqual, maxBackoff)
+	})
+}
+
 // receive answers requests with the given share of what they ask for.
 func receive(a *Account, now time.Duration, requests []TransferRequest, part float64) {
 	for _, r := range requests {
