Spread the retry-after times of tenants with low limits

While the next token came later than the horizon of 5 s, all refused callers of a tenant got the same retry-after time, and none the time of the token. The horizon now counts from the next token, and each pass over it begins at another place between two tokens.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -144,12 +144,20 @@
 // all come back at once.
 type retrySchedule struct {
 	next time.Duration
+	// pass counts how often all times up to the horizon have been assigned since a caller
+	// was last told the time of the next token.
+	pass int
 }
 
-// RetryHorizon limits retry-after times. Callers that are refused when all tokens up to the
-// horizon are assigned share the times up to it.
+// RetryHorizon is the time after the next token within which retry-after times lie. Callers
+// that are refused when all tokens up to the horizon are assigned share the times up to it.
 const RetryHorizon = 5 * time.Second
 
+// passShift is the distance of the times of one pass from those of the previous one, as a
+// part of the time between two. Multiples of the golden ratio fall evenly between the tokens
+// whatever the number of passes is.
+const passShift = 1 / math.Phi
+
 // assign assigns the next n tokens, of which the first is there at first and the others
 // follow at the given rate. It returns the time until the first of them and the time
 // between two.
@@ -159,11 +167,12 @@
 	}
 	step = min(RetryHorizon, accrualTime(1, rate))
 	if s.next < first {
-		s.next = first
+		s.next, s.pass = first, 0
 	}
-	if s.next > now+RetryHorizon {
-		// Callers of the next pass come halfway between those of the previous one.
-		s.next = first + step/2
+	if s.next > first+RetryHorizon {
+		s.pass++
+		_, shift := math.Modf(float64(s.pass) * passShift)
+		s.next = first + time.Duration(shift*float64(step))
 	}
 	after = max(time.Millisecond, s.next-now)
 	s.next += time.Duration(n) * step
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -86,6 +86,24 @@
 	})
 }
 
+// Guards against callers of a tenant with a low limit that all come back at the same time,
+// because the next token comes later than the horizon.
+func TestRetryAfterOfLowLimit(t *testing.T) {
+	Convey("The first caller is told the time of the next token, and the others come at different times", t, func() {
+		const now = 2 * time.Second
+		a := NewAccount(0, Share{Domains: 6}, Limit{Rate: 0.6, Burst: 1}, nil, 0)
+		take(a, 0, 1)
+		So(take(a, now, 1).RetryAfter, ShouldEqual, 8*time.Second)
+		seen := map[time.Duration]int{}
+		for range 50 {
+			d := take(a, now, 1)
+			So(d.RetryAfter, ShouldBeBetweenOrEqual, 8*time.Second, 8*time.Second+RetryHorizon)
+			seen[d.RetryAfter]++
+		}
+		So(len(seen), ShouldBeGreaterThan, 40)
+	})
+}
+
 // Guards against times that overflow: a valid limit may be so low that the next token comes
 // after centuries.
 func TestTimesOfTinyLimit(t *testing.T) {
