Let waiting transactions begin fairly between tenants

A transaction waits for room among the transactions of a target before it enters the gate, which divides slot time between tenants. It waited in the order of arrival, behind all waiting transactions of a tenant with many. Now the tenant with the fewest transactions goes first. Without tenants the order is that of arrival, as before.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -154,16 +154,17 @@
 	p.tenanted = p.tenanted || keep
 }
 
-// ReserveTransaction waits until another transaction may hold a connection, at most until
-// the given time, and reports whether one may. The reservation ends with
-// CancelTransaction, or when the connection that Pin marked is released or discarded.
-func (p *Pool) ReserveTransaction(until time.Time) bool {
-	return p.transactions.reserve(until)
+// ReserveTransaction waits until another transaction of a tenant may hold a connection, at
+// most until the given time, and reports whether one may. The reservation ends with
+// CancelTransaction, or when the connection of the tenant that Pin marked is released or
+// discarded.
+func (p *Pool) ReserveTransaction(tenant string, until time.Time) bool {
+	return p.transactions.reserve(tenant, until)
 }
 
-// CancelTransaction ends a reservation for which no connection was marked.
-func (p *Pool) CancelTransaction() {
-	p.transactions.release()
+// CancelTransaction ends a reservation of a tenant for which no connection was marked.
+func (p *Pool) CancelTransaction(tenant string) {
+	p.transactions.release(tenant)
 }
 
 // updateTransactionRoom sets how many transactions may hold connections. p.mu must be held.
@@ -189,7 +190,7 @@
 		p.countTenant(c.tenant, tenantConns{pinned: -1})
 		p.target.Gate.connectionUnpinned(c.tenant)
 		p.updateGate()
-		p.transactions.release()
+		p.transactions.release(c.tenant)
 	}
 }
 
--- a/internal/backend/transaction_room_test.go
+++ b/internal/backend/transaction_room_test.go
@@ -22,12 +22,12 @@
 		for range transactions {
 			wg.Go(func() {
 				until := time.Now().Add(10 * handshakeTime)
-				if !target.Pool.ReserveTransaction(until) {
+				if !target.Pool.ReserveTransaction("", until) {
 					return
 				}
 				c, verdict := target.Pool.Acquire(1, 0, until)
 				if verdict != Acquired {
-					target.Pool.CancelTransaction()
+					target.Pool.CancelTransaction("")
 					return
 				}
 				target.Pool.Pin(c)
@@ -42,9 +42,9 @@
 			target.Pool.Release(c)
 		}
 		Convey("and a transaction begins when another one ends", func() {
-			So(target.Pool.ReserveTransaction(time.Now()), ShouldBeFalse)
+			So(target.Pool.ReserveTransaction("", time.Now()), ShouldBeFalse)
 			time.AfterFunc(handshakeTime, func() { target.Pool.Discard(<-held) })
-			So(target.Pool.ReserveTransaction(time.Now().Add(time.Second)), ShouldBeTrue)
+			So(target.Pool.ReserveTransaction("", time.Now().Add(time.Second)), ShouldBeTrue)
 		})
 	})
 	Convey("While the target has no room, the open connections count", t, func() {
@@ -54,3 +54,45 @@
 		So(transactionLimit(1, 2, true), ShouldEqual, 1)
 	})
 }
+
+// Guards against a tenant whose many waiting transactions keep those of others from
+// beginning: with the order of arrival, they waited behind all of them.
+func TestTransactionsOfTenants(t *testing.T) {
+	Convey("A transaction of a tenant with none goes before the waiting ones of another", t, func() {
+		const limit, waiting = 3, 10
+		r := &transactionRoom{}
+		r.setLimit(limit)
+		for range limit {
+			So(r.reserve("large", time.Now()), ShouldBeTrue)
+		}
+		began := make(chan string, waiting+1)
+		var wg sync.WaitGroup
+		wait := func(tenant string) {
+			wg.Go(func() {
+				if r.reserve(tenant, time.Now().Add(10*time.Second)) {
+					began <- tenant
+				}
+			})
+		}
+		arrived := func(n int) bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return len(r.waiters) == n
+		}
+		for n := range waiting {
+			wait("large")
+			for !arrived(n + 1) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		wait("small")
+		for !arrived(waiting + 1) {
+			time.Sleep(time.Millisecond)
+		}
+		r.release("large")
+		So(<-began, ShouldEqual, "small")
+		r.setLimit(limit + waiting)
+		wg.Wait()
+		So(began, ShouldHaveLength, waiting)
+	})
+}
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -88,12 +88,12 @@
 	if r.unit.tx == nil {
 		return e.enterGateAndAcquire(r, t)
 	}
-	if !t.Pool.ReserveTransaction(r.transactionDeadline) {
+	if !t.Pool.ReserveTransaction(r.unit.header.Tenant, r.transactionDeadline) {
 		return nil, backend.NoTransactionRoom
 	}
 	conn, verdict := e.enterGateAndAcquire(r, t)
 	if verdict != backend.Acquired {
-		t.Pool.CancelTransaction()
+		t.Pool.CancelTransaction(r.unit.header.Tenant)
 		return nil, verdict
 	}
 	t.Pool.Pin(conn)
