Open a connection at once when transactions hold all others

The backoff growBackoff ends when transactions hold all connections of a pool, but nothing dialed for the tenants that waited then until its timer ran out, up to 1 s later.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -181,6 +181,10 @@
 	p.countTenant(c.tenant, tenantConns{pinned: 1})
 	p.target.Gate.connectionPinned(c.tenant)
 	p.updateGate()
+	if p.tenanted {
+		// growBackoff ends when transactions hold all connections.
+		p.dialIfNeeded(0)
+	}
 }
 
 // unpin marks a connection as no longer held by a transaction. p.mu must be held.
--- a/internal/backend/pool_fault_test.go
+++ b/internal/backend/pool_fault_test.go
@@ -117,6 +117,32 @@
 	})
 }
 
+// Guards against a request that waits for the rest of the backoff although transactions now
+// hold all connections that could have served other tenants meanwhile.
+func TestDialWhenTransactionsHoldAllConnections(t *testing.T) {
+	Convey("When a transaction takes the last connection, a connection for a waiting tenant is opened at once", t, func() {
+		d := &tenantDialer{limit: 1}
+		p := newTenantPool(d, 4)
+		until := time.Now().Add(growBackoff - fullBackoff)
+		c, verdict := p.AcquireFor("a", 1, 0, until)
+		So(verdict, ShouldEqual, Acquired)
+		So(p.ReserveTransaction("a", until), ShouldBeTrue)
+		got := make(chan Verdict, 1)
+		go func() {
+			_, v := p.AcquireFor("b", 2, 0, until)
+			got <- v
+		}()
+		waitForWaiters(p, 1)
+		time.Sleep(2 * fullBackoff)
+		d.mu.Lock()
+		d.limit = 2
+		d.mu.Unlock()
+		So(got, ShouldBeEmpty)
+		p.Pin(c)
+		So(<-got, ShouldEqual, Acquired)
+	})
+}
+
 // Guards against a home that closes one idle connection after the other for new ones that a
 // full target refuses, and against one that is refused for each request of other tenants.
 func TestBackoffOfReplacements(t *testing.T) {
