Don't watch a relay of another domain with a negative wait

A feed that may not call the store, and had no pause between its own calls to it, asked the relay of another failure domain with a wait in the past, so that the call ended before the answer came.

--- a/internal/node/configuration_feed_test.go
+++ b/internal/node/configuration_feed_test.go
@@ -132,6 +132,29 @@
 	})
 }
 
+// joiningRelays is twoRelays while the founder of the failure domain is followed.
+type joiningRelays struct{ twoRelays }
+
+func (*joiningRelays) JoiningFor() time.Duration { return 50 * time.Millisecond }
+
+// Guards against a watch with a negative wait, which ends before its answer can come: a feed
+// that had no failed call to the store asked a relay of another failure domain with one.
+func TestOtherDomainWithoutFallbackPause(t *testing.T) {
+	Convey("A feed that may not call the store gets its changes from another domain, also without a pause between its calls to the store", t, func() {
+		otherMirror := newMirror(time.Minute)
+		otherMirror.replace(boottime.Now(), store.Page{Era: testEra, Revision: 10, Objects: []store.Object{testObject("a", 10)}})
+		relays := &joiningRelays{twoRelays{other: startRelay(t, otherMirror)}}
+		relays.client = startRelay(t, newMirror(time.Second))
+		f := &feed{
+			kind: "things", objects: &failingStore{}, relays: relays, mirror: newMirror(time.Second), wait: time.Second, log: eventlog.New(), acrossDomains: true,
+			otherAnswered: true, onReplace: func([]store.Object) {}, onChange: func(store.Object) {},
+		}
+		next, err := f.poll(context.Background(), store.Point{Era: testEra, Revision: 5})
+		So(err, ShouldBeNil)
+		So(next.Revision, ShouldEqual, store.Revision(10))
+	})
+}
+
 // keyedStore lists a configuration object and then has no changes.
 type keyedStore struct{ object store.Object }
 
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -179,6 +179,9 @@
 		}
 		pause := f.nextFallback - boottime.Now()
 		if joiningFor > 0 || from.Revision != 0 && pause > 0 || from.Revision == 0 && f.waitsForRelay() {
+			if pause <= 0 {
+				pause = otherDomainWait
+			}
 			if f.otherAnswered {
 				if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
 					return next, nil
