--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -165,57 +165,86 @@
 func (f *feed) poll(ctx context.Context, from store.Point) (store.Point, error) {
 	relay := f.relay()
 	f.logSourceChange(relay)
-	if relay != nil {
-		joiningFor := f.relays.JoiningFor()
-		wait := f.wait
-		if joiningFor > 0 {
-			// All daemons turn from the founder to the relay at the same time.
-			wait = min(wait, joiningFor)
-		}
-		next, err := f.pollRelay(ctx, relay, from, wait)
-		if err == nil {
-			f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
+	if relay == nil {
+		return f.pollBeyondRelay(ctx, from, f.pollAsRelay)
+	}
+	joiningFor := f.relays.JoiningFor()
+	wait := f.wait
+	if joiningFor > 0 {
+		// All daemons turn from the founder to the relay at the same time.
+		wait = min(wait, joiningFor)
+	}
+	next, err := f.pollRelay(ctx, relay, from, wait)
+	if err == nil {
+		f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
+		return next, nil
+	}
+	pause := f.nextFallback - boottime.Now()
+	if joiningFor > 0 || from.Revision != 0 && pause > 0 || from.Revision == 0 && f.waitsForRelay() {
+		return f.pollInsteadOfStore(ctx, from, pause, err)
+	}
+	return f.pollBeyondRelay(ctx, from, f.pollAsFollower)
+}
+
+// pollInsteadOfStore is for a follower that leaves the store to its relay for now, or for a
+// pause if that is positive. It asks a relay of another failure domain if that one answered
+// the last time, and otherwise fails with the error of the relay.
+func (f *feed) pollInsteadOfStore(ctx context.Context, from store.Point, pause time.Duration, relayError error) (store.Point, error) {
+	if pause <= 0 {
+		pause = otherDomainWait
+	}
+	if f.otherAnswered {
+		if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
 			return next, nil
 		}
-		pause := f.nextFallback - boottime.Now()
-		if joiningFor > 0 || from.Revision != 0 && pause > 0 || from.Revision == 0 && f.waitsForRelay() {
-			if pause <= 0 {
-				pause = otherDomainWait
-			}
-			if f.otherAnswered {
-				if next, ok := f.pollOtherDomain(ctx, from, pause); ok {
-					return next, nil
-				}
-			}
-			return from, fmt.Errorf("%w: %w", errNoSource, err)
-		}
 	}
+	return from, fmt.Errorf("%w: %w", errNoSource, relayError)
+}
+
+// pollBeyondRelay makes a call to the store, and asks a relay of another failure domain if
+// that gets no answer.
+func (f *feed) pollBeyondRelay(ctx context.Context, from store.Point, callStore func(context.Context, store.Point) (store.Point, error)) (store.Point, error) {
 	if from.Revision == 0 {
 		f.mirror.setLoading(true)
 		defer f.mirror.setLoading(false)
 	}
+	next, err := callStore(ctx, from)
+	if err != nil && isUnanswered(err) {
+		if next, ok := f.pollOtherDomain(ctx, from, otherDomainWait); ok {
+			return next, nil
+		}
+	}
+	return next, err
+}
+
+// pollAsRelay makes one call to the store for a feed that follows no relay. If it has no
+// copy and the store fails, it gets one from another relay.
+func (f *feed) pollAsRelay(ctx context.Context, from store.Point) (store.Point, error) {
 	wait := f.wait
-	if relay == nil && !f.mirror.isCurrent() {
+	if !f.mirror.isCurrent() {
 		// Until the first answer, the followers of a new relay call the store themselves.
 		wait = 0
 	}
 	next, err := f.pollStore(ctx, from, wait)
-	if err != nil && relay == nil && from.Revision == 0 {
+	if err != nil && from.Revision == 0 {
 		if next, ok := f.pollAlternative(ctx, from); ok {
 			return next, nil
 		}
 	}
-	if err != nil && relay != nil {
-		f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
-		f.nextFallback = boottime.Now() + f.fallbackPause
-	} else {
+	f.fallbackPause, f.nextFallback = 0, 0
+	return next, err
+}
+
+// pollAsFollower makes one call to the store for a follower whose relay has failed, and
+// after a failure sets the pause until the next one.
+func (f *feed) pollAsFollower(ctx context.Context, from store.Point) (store.Point, error) {
+	next, err := f.pollStore(ctx, from, f.wait)
+	if err == nil {
 		f.fallbackPause, f.nextFallback = 0, 0
+		return next, nil
 	}
-	if err != nil && isUnanswered(err) {
-		if next, ok := f.pollOtherDomain(ctx, from, otherDomainWait); ok {
-			return next, nil
-		}
-	}
+	f.fallbackPause = min(max(2*f.fallbackPause, firstFallbackPause), maxFallbackPause)
+	f.nextFallback = boottime.Now() + f.fallbackPause
 	return next, err
 }
 
