--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,6 @@
 	})
 	local := executor.New(n.registry, n.log)
 	local.Configuration = &n.configuration
-	local.Configuration = &n.configuration
 	self := fleet.VM{
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
 		Peer: netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
