--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -300,6 +300,16 @@
 		So(second.query(t, query.Write, "3").OK(), ShouldBeTrue)
 		So(a.home.headers[0].Tenant+a.home.headers[1].Tenant, ShouldEqual, "ab")
 	})
+	// Guards against a first statement under a tenant of an older configuration.
+	Convey("When the deployment gives up tenants after a begin, the transaction runs without one", t, func() {
+		a := newAccessTest(one)
+		conn, _ := a.connect("db", "key")
+		conn.query(t, query.Begin, "")
+		a.apply(&catalog.Configuration{Version: 2, Routes: one.Routes})
+		So(conn.query(t, query.Write, "1").OK(), ShouldBeTrue)
+		So(a.home.headers[0].Tenant, ShouldBeEmpty)
+		So(a.home.headers[0].Key, ShouldResemble, catalog.KeyDigest{})
+	})
 	// Guards against a transaction that goes on under a tenant that is no longer declared.
 	Convey("When a tenant is renamed, its open transaction is rolled back and its session goes on under the new name", t, func() {
 		a := newAccessTest(one)
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -324,7 +324,7 @@
 		s.countRefusal(reply)
 		return reply
 	}
-	if c := s.configuration.Current(); c != nil && c.Tenants != nil {
+	if c := s.configuration.Current(); c != nil && c.Tenants != nil || tx.access.tenant.Name != "" {
 		// The key may have moved to another tenant since the begin.
 		a, code := s.lookUpAccess()
 		if code != query.OK {
