--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -12,14 +12,17 @@
 // acquireLeader waits for a leader and a connection to it. If none is available by the
 // request's queueDeadline, it returns a nil connection and the refusal for the caller.
 func (e *Executor) acquireLeader(r *request) (*backend.LeaderView, *backend.PooledConn, *query.Answer) {
+	refuse := func(reason string) (*backend.LeaderView, *backend.PooledConn, *query.Answer) {
+		a := e.refuseNotRun(r, query.Busy, reason)
+		return nil, nil, &a
+	}
 	if r.denial.code != query.OK {
 		a := e.refuseTenant(r)
 		return nil, nil, &a
 	}
 	if !r.group.AllowLeaderRequest() {
 		r.cutOff = r.group.Isolated()
-		a := e.refuseNotRun(r, query.Busy, "not_confirmed")
-		return nil, nil, &a
+		return refuse("not_confirmed")
 	}
 	var failed *backend.LeaderView
 	for {
@@ -33,8 +36,7 @@
 				if r.group.OutOfConnections() {
 					reason, r.cutOff = "no_room", true
 				}
-				a := e.refuseNotRun(r, query.Busy, reason)
-				return nil, nil, &a
+				return refuse(reason)
 			}
 			continue
 		}
@@ -49,18 +51,14 @@
 		case backend.TimedOut:
 			r.group.TriggerCheck()
 			r.cutOff = r.group.OutOfConnections()
-			a := e.refuseNotRun(r, query.Busy, "no_connection")
-			return nil, nil, &a
+			return refuse("no_connection")
 		case backend.Overloaded:
-			reason := "too_late"
 			if r.overShare {
-				reason = "over_share"
+				return refuse("over_share")
 			}
-			a := e.refuseNotRun(r, query.Busy, reason)
-			return nil, nil, &a
+			return refuse("too_late")
 		case backend.NoTransactionRoom:
-			a := e.refuseNotRun(r, query.Busy, "transactions_full")
-			return nil, nil, &a
+			return refuse("transactions_full")
 		default:
 			failed = l
 			r.group.TriggerCheck()
