--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -247,6 +248,30 @@
 	})
 }
 
+// Guards against a key that leaks through the log because its caller sent it in place of the
+// name of the database.
+func TestKeyInPlaceOfDatabase(t *testing.T) {
+	cases := map[string]struct {
+		configuration *catalog.Configuration
+		logged        bool
+	}{
+		"with tenants":                   {tenantConfiguration(1, map[string][]string{"a": {"key-a"}}), false},
+		"without tenants":                {&catalog.Configuration{Version: 1}, true},
+		"before the first configuration": {nil, false},
+	}
+	for name, c := range cases {
+		Convey("The log of a deployment "+name, t, func() {
+			a := newAccessTest(c.configuration)
+			conn, code := a.connect("key-a", "")
+			So(code, ShouldNotEqual, query.OK)
+			So(conn.isClosedWithin(time.Second), ShouldBeTrue)
+			log := a.written()
+			So(log, ShouldContainSubstring, "session_refused")
+			So(strings.Contains(log, "key-a"), ShouldEqual, c.logged)
+		})
+	}
+}
+
 func TestMovedKey(t *testing.T) {
 	one := tenantConfiguration(1, map[string][]string{"a": {"key"}, "b": nil})
 	// Guards against a tenant that is looked up only at the start of a session, and against
@@ -275,6 +300,16 @@
 		So(second.query(t, query.Write, "3").OK(), ShouldBeTrue)
 		So(a.home.headers[0].Tenant+a.home.headers[1].Tenant, ShouldEqual, "ab")
 	})
+	// Guards against a first statement under a tenant of an older configuration.
+	Convey("When the deployment gives up tenants after a begin, the transaction runs without one", t, func() {
+		a := newAccessTest(one)
+		conn, _ := a.connect("db", "key")
+		conn.query(t, query.Begin, "")
+		a.apply(&catalog.Configuration{Version: 2, Routes: one.Routes})
+		So(conn.query(t, query.Write, "1").OK(), ShouldBeTrue)
+		So(a.home.headers[0].Tenant, ShouldBeEmpty)
+		So(a.home.headers[0].Key, ShouldResemble, catalog.KeyDigest{})
+	})
 	// Guards against a transaction that goes on under a tenant that is no longer declared.
 	Convey("When a tenant is renamed, its open transaction is rolled back and its session goes on under the new name", t, func() {
 		a := newAccessTest(one)
@@ -418,6 +453,28 @@
 	})
 }
 
+// Guards against an idle transaction that is kept because each new configuration wakes its
+// session and restarts the time for which it may be idle.
+func TestTransactionIdleDuringChanges(t *testing.T) {
+	Convey("A transaction on a public route expires although the configuration changes", t, func() {
+		configuration := func(version uint64) *catalog.Configuration {
+			c := tenantConfiguration(version, map[string][]string{"a": {"key"}})
+			c.TransactionIdle = 150 * time.Millisecond
+			return c
+		}
+		a := newAccessTest(configuration(1))
+		conn, _ := a.connect("open", "")
+		conn.query(t, query.Begin, "")
+		conn.query(t, query.Write, "w")
+		So(a.home.units(), ShouldEqual, 1)
+		for version := uint64(2); version < 12; version++ {
+			time.Sleep(50 * time.Millisecond)
+			a.apply(configuration(version))
+		}
+		So(a.home.units(), ShouldEqual, 0)
+	})
+}
+
 // eventually fails the test if condition does not hold within two seconds.
 func eventually(condition func() bool) {
 	deadline := time.Now().Add(2 * time.Second)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -150,10 +150,10 @@
 	}
 	current := s.Configuration.Current()
 	if isStale(current, s.Confirmation, database) {
-		return nil, s.refuseStart(c, database, query.Busy, reasonStale)
+		return nil, s.refuseStart(c, loggedDatabase(current, database), query.Busy, reasonStale)
 	}
 	if _, code := lookUpAccess(current, database, digest); code != query.OK {
-		return nil, s.refuseStart(c, database, code, accessReason(code))
+		return nil, s.refuseStart(c, loggedDatabase(current, database), code, accessReason(code))
 	}
 	if err := c.WriteReady(); err != nil {
 		return nil, err
@@ -166,7 +166,8 @@
 	reasonNoRoute: "no route to this database", reasonUnknownKey: "the key is unknown", reasonStale: "not run: " + reasonStale,
 }
 
-// refuseStart refuses a new session and returns the reason.
+// refuseStart refuses a new session and returns the reason. database must be fit for the
+// log.
 func (s *Server) refuseStart(c Conn, database string, code query.Code, reason string) error {
 	if reason != reasonNoRoute {
 		requestmetrics.Refused(reason)
@@ -233,8 +234,9 @@
 // sent no statement.
 func (s *Server) readStatement(ses *sessionConn) (query.Statement, error) {
 	revoked := false
+	idleSince := time.Now()
 	for {
-		idleUntil, err := s.setReadDeadline(ses)
+		idleUntil, err := s.setReadDeadline(ses, idleSince)
 		if err != nil {
 			return query.Statement{}, err
 		}
@@ -283,8 +285,9 @@
 )
 
 // setReadDeadline marks the session as waiting for its caller and sets the read deadline.
-// It returns the time at which an open transaction expires as idle, zero for none.
-func (s *Server) setReadDeadline(ses *sessionConn) (time.Time, error) {
+// idleSince is when the session began to wait. It returns the time at which an open
+// transaction expires as idle, zero for none.
+func (s *Server) setReadDeadline(ses *sessionConn, idleSince time.Time) (time.Time, error) {
 	var idleUntil, deadline time.Time
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
@@ -298,9 +301,9 @@
 		}
 	case s.endingTransactions.Load():
 		deadline = time.Now().Add(failedTransactionTimeout)
-	default:
+	case ses.state.state() == query.Open:
 		if c := s.Configuration.Current(); c != nil && c.TransactionIdle > 0 {
-			idleUntil = time.Now().Add(c.TransactionIdle)
+			idleUntil = idleSince.Add(c.TransactionIdle)
 			deadline = idleUntil
 		}
 	}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -275,7 +275,7 @@
 		rate := a.supply(now)
 		first := now
 		if rate > 0 {
-			first += time.Duration(max(0, 1-a.tokens.balance) / rate * float64(time.Second))
+			first += accrualTime(1-a.tokens.balance, rate)
 		}
 		d.RetryAfter, d.RetryStep = a.retries.assign(now, first, w.open, rate)
 	}
@@ -454,7 +454,7 @@
 	if a.share.rate(a.limit) <= 0 {
 		return maxBackoff
 	}
-	return min(maxBackoff, max(firstBackoff/10, time.Duration(tokens/a.share.rate(a.limit)*float64(time.Second))))
+	return min(maxBackoff, max(firstBackoff/10, accrualTime(tokens, a.share.rate(a.limit))))
 }
 
 // NextWake returns when the account may go on with the operations that wait, if that is soon
@@ -466,7 +466,7 @@
 	}
 	at = now + prospectHorizon + 1
 	if a.tokens.rate > 0 {
-		at = now + time.Duration(max(0, 1-a.tokens.balance)/a.tokens.rate*float64(time.Second)) + 1
+		at = now + accrualTime(1-a.tokens.balance, a.tokens.rate) + 1
 	}
 	for _, p := range a.partners {
 		if p.mayHaveTokens(now, now+prospectHorizon) {
