Keep the connection to a peer that sends a large page, and send pages on one of their own

Cause: at the start of 297 VMs with 780 groups, 242 connections to relays were closed after 0.6 s: a page of the configuration or the targets took longer than that on the link of a small VM, the reader counted only complete frames as a sign of life, the writer allowed 0.5 s for a whole frame, and the answers to other calls waited behind it. Each page was then asked for again from the beginning.

Now bytes count, a frame is written in parts with a time-out each, and watches have a connection of their own.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 )
 
@@ -36,6 +35,10 @@
 	name, address string
 	observer      Observer
 
+	// watches has a connection of its own for watches, so that their large answers don't
+	// delay the answers to other calls. It is nil in itself.
+	watches *Client
+
 	mu           sync.Mutex
 	conn         *clientConn // guarded by mu
 	dialErr      error       // guarded by mu; of the last dial
@@ -45,7 +48,9 @@
 // NewClient returns a client of the daemon name at address, given as host:port. self is
 // this daemon. No connection is made before the first call.
 func NewClient(self Identity, name, address string, o Observer) *Client {
-	return &Client{self: self, name: name, address: address, observer: o}
+	// A connection for watches does not introduce this daemon a second time.
+	watches := &Client{self: Identity{Name: self.Name}, name: name, address: address, observer: o}
+	return &Client{self: self, name: name, address: address, observer: o, watches: watches}
 }
 
 // Name returns the name of the peer.
@@ -58,10 +63,9 @@
 
 // clientConn is one connection to a peer.
 type clientConn struct {
-	client    *Client
-	frames    *frameConn
-	lastHeard atomic.Int64 // since boot
-	lastID    atomic.Uint64
+	client *Client
+	frames *frameConn
+	lastID atomic.Uint64
 	// answersQuota is whether the peer answers requests with Quota.
 	answersQuota bool
 
@@ -107,7 +111,6 @@
 		return nil, errors.Join(fmt.Errorf("handshake with peer %s: %w", c.name, err), tcp.Close())
 	}
 	conn := &clientConn{client: c, frames: w, calls: make(map[uint64]chan response), wake: make(chan struct{}, 1), done: make(chan struct{}), answersQuota: h.Quota}
-	conn.lastHeard.Store(int64(boottime.Now()))
 	return conn, nil
 }
 
@@ -138,6 +141,9 @@
 
 // Close closes the connection, if any. Pending calls are lost.
 func (c *Client) Close() {
+	if c.watches != nil {
+		c.watches.Close()
+	}
 	c.mu.Lock()
 	conn := c.conn
 	c.conn = nil
@@ -155,7 +161,6 @@
 			c.shutdown(err)
 			return
 		}
-		c.lastHeard.Store(int64(boottime.Now()))
 		if r.Leaving {
 			c.client.observer.PeerLeaving(c.client.name)
 		}
@@ -183,7 +188,7 @@
 		}
 		for c.pendingCalls() > 0 {
 			time.Sleep(pingAfter / 2)
-			silence := boottime.Now() - time.Duration(c.lastHeard.Load())
+			silence := c.frames.silence()
 			if silence > lostAfter {
 				c.shutdown(errLost)
 				return
@@ -242,7 +247,7 @@
 		return response{}, false, errLost
 	}
 	if len(c.calls) == 0 {
-		c.lastHeard.Store(int64(boottime.Now()))
+		c.frames.markRead()
 	}
 	c.calls[r.Unit] = done
 	c.mu.Unlock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -7,11 +7,14 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 )
 
@@ -78,8 +81,11 @@
 	pingAfter = 200 * time.Millisecond
 	// lostAfter is the silence during pending calls after which the connection is closed.
 	lostAfter = 600 * time.Millisecond
-	// writeTimeout limits a write to a peer that doesn't read.
-	writeTimeout    = 500 * time.Millisecond
+	// writeTimeout limits the write of one part of a frame to a peer that doesn't read.
+	writeTimeout = 500 * time.Millisecond
+	// writePartBytes is the size of the parts in which a frame is written. A large frame may
+	// take seconds on the link of a small VM, to a peer that reads all the time.
+	writePartBytes  = 4 << 10
 	readBufferBytes = 4 << 10
 )
 
@@ -102,12 +108,36 @@
 type frameConn struct {
 	conn    net.Conn
 	decoder *cbor.Decoder
+	// lastRead is when bytes were last received, as time since boot. A peer that is
+	// sending a large frame is alive before the frame is complete.
+	lastRead atomic.Int64
 
 	mu sync.Mutex // orders writes
 }
 
 func newFrameConn(c net.Conn) *frameConn {
-	return &frameConn{conn: c, decoder: decoding.NewDecoder(bufio.NewReaderSize(c, readBufferBytes))}
+	w := &frameConn{conn: c}
+	w.decoder = decoding.NewDecoder(bufio.NewReaderSize(w, readBufferBytes))
+	return w
+}
+
+// Read implements io.Reader for the decoder.
+func (w *frameConn) Read(b []byte) (int, error) {
+	n, err := w.conn.Read(b)
+	if n > 0 {
+		w.markRead()
+	}
+	return n, err
+}
+
+// markRead starts the time of silence anew.
+func (w *frameConn) markRead() {
+	w.lastRead.Store(int64(boottime.Now()))
+}
+
+// silence returns the time since bytes were last received.
+func (w *frameConn) silence() time.Duration {
+	return boottime.Now() - time.Duration(w.lastRead.Load())
 }
 
 func (w *frameConn) write(frame any) error {
@@ -117,11 +147,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for part := range slices.Chunk(data, writePartBytes) {
+		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := w.conn.Write(part); err != nil {
+			return err
+		}
 	}
-	_, err = w.conn.Write(data)
-	return err
+	return nil
 }
 
 func (w *frameConn) read(frame any) error {
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -67,13 +67,15 @@
 // ErrNotCurrent is returned if the peer is no relay or has no current copy.
 var ErrNotCurrent = errors.New("relay has no current copy")
 
-// watchTimeoutMargin is added to the wait of a watch to get the time-out of its call.
-const watchTimeoutMargin = 500 * time.Millisecond
+// watchTimeoutMargin is added to the wait of a watch to get the time-out of its call. It
+// covers the transfer of a large page; a peer that falls silent is noticed by the liveness
+// check.
+const watchTimeoutMargin = 5 * time.Second
 
 // Watch asks the peer, as a relay, for changed objects. The error wraps ErrNotCurrent if
 // the relay's copy is not current.
 func (c *Client) Watch(r WatchRequest) (WatchResponse, error) {
-	conn, err := c.connect()
+	conn, err := c.watches.connect()
 	if err != nil {
 		return WatchResponse{}, err
 	}
