Rank relays by link and homes and quota owners by processor capacity

VMs of a failure domain have 0.192 to 0.8 of a core and links of 10 to 200 Mbit/s, and roles were given by hash alone. A relay on a small link needs seconds to send the list of targets to its failure domain.

Daemons declare their capacity in their registrations. VMs that are equal or declare nothing are ranked as before.

--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -1,11 +1,6 @@
 package fleet
 
-import (
-	"slices"
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "slices"
 
 // Number of VMs per role.
 const (
@@ -32,12 +27,13 @@
 
 // HomesIn returns the VMs of a failure domain to try as home of a database, best first.
 func (v *View) HomesIn(failureDomain, service, database string) []VM {
-	return v.topRanked(failureDomain, service+"."+database, HomeCandidates)
+	return v.topRanked(failureDomain, service+"."+database, HomeCandidates, rankByProcessor)
 }
 
-// Relays returns the relays of a failure domain, best first.
+// Relays returns the relays of a failure domain, best first. They are VMs with the largest
+// links: a relay sends the configuration and the list of targets to all daemons of its domain.
 func (v *View) Relays(failureDomain string) []VM {
-	return v.topRanked(failureDomain, relayKey, RelayCount)
+	return v.topRanked(failureDomain, relayKey, RelayCount, rankByLink)
 }
 
 // quotaKey returns the key by which the quota owners of a tenant are ranked. It ends with a
@@ -57,13 +53,7 @@
 	if ranked, ok := v.rankings.Load(cacheKey); ok {
 		return ranked
 	}
-	var vms []VM
-	for _, vm := range v.VMs {
-		if vm.FailureDomain == failureDomain && !vm.Leaving {
-			vms = append(vms, vm)
-		}
-	}
-	ranked := rankByHash(vms, key)
+	ranked := slices.DeleteFunc(rankByProcessor(v.inDomain(failureDomain), key), func(vm VM) bool { return vm.Leaving })
 	usable := 0
 	for i, vm := range ranked {
 		if vm.usable() {
@@ -90,51 +80,33 @@
 
 // UsableInDomain returns the usable VMs of a failure domain.
 func (v *View) UsableInDomain(failureDomain string) []VM {
+	return slices.DeleteFunc(v.inDomain(failureDomain), func(vm VM) bool { return !vm.usable() })
+}
+
+// inDomain returns the VMs of a failure domain.
+func (v *View) inDomain(failureDomain string) []VM {
 	var vms []VM
 	for _, vm := range v.VMs {
-		if vm.FailureDomain == failureDomain && vm.usable() {
+		if vm.FailureDomain == failureDomain {
 			vms = append(vms, vm)
 		}
 	}
 	return vms
 }
 
-// topRanked returns the count highest-ranked usable VMs of a failure domain for key, by
-// rendezvous hashing: when a VM is removed, only its own keys move. The result is cached.
-func (v *View) topRanked(failureDomain, key string, count int) []VM {
+// topRanked returns the count highest-ranked usable VMs of a failure domain for key. The
+// ranking includes the VMs that are not usable: the largest link or the smallest capacity may
+// be one of theirs, and the others must keep their order when a VM is lost. The result is
+// cached.
+func (v *View) topRanked(failureDomain, key string, count int, rank func([]VM, string) []VM) []VM {
 	cacheKey := failureDomain + "/" + key
 	if ranked, ok := v.rankings.Load(cacheKey); ok {
 		return ranked
 	}
-	ranked := rankByHash(v.UsableInDomain(failureDomain), key)
+	ranked := slices.DeleteFunc(rank(v.inDomain(failureDomain), key), func(vm VM) bool { return !vm.usable() })
 	if len(ranked) > count {
 		ranked = ranked[:count:count]
 	}
 	v.rankings.Store(cacheKey, ranked)
 	return ranked
 }
-
-// scoredVM is a VM and its hash score for a key.
-type scoredVM struct {
-	vm    VM
-	score uint64
-}
-
-// rankByHash orders VMs by descending score for key, and by name if the scores are equal.
-func rankByHash(vms []VM, key string) []VM {
-	list := make([]scoredVM, 0, len(vms))
-	for _, vm := range vms {
-		list = append(list, scoredVM{vm: vm, score: xxhash.Sum64String(key + "\x00" + vm.Name)})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].score != list[j].score {
-			return list[i].score > list[j].score
-		}
-		return list[i].vm.Name < list[j].vm.Name
-	})
-	ranked := make([]VM, len(list))
-	for i, s := range list {
-		ranked[i] = s.vm
-	}
-	return ranked
-}
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -79,6 +79,8 @@
 	for _, listed := range vms {
 		if listed.Name == t.self.Name {
 			t.listedLeaving = listed.State == store.VMLeaving
+			// The other daemons rank this VM by the capacity that is listed.
+			t.self.Capacity = listed.Capacity
 			continue
 		}
 		address, err := netip.ParseAddrPort(listed.Address)
@@ -86,13 +88,14 @@
 			unreadable = append(unreadable, listed.Name)
 			continue
 		}
-		m := t.member(VM{Name: listed.Name, Peer: address, FailureDomain: listed.FailureDomain})
+		vm := VM{Name: listed.Name, Peer: address, FailureDomain: listed.FailureDomain, Capacity: listed.Capacity}
+		m := t.member(vm)
 		if m.vm.Peer != address {
 			// A VM with a new address is a new process: discard what was observed of the
 			// old one.
 			*m = member{}
 		}
-		m.vm = VM{Name: listed.Name, Peer: address, FailureDomain: listed.FailureDomain}
+		m.vm = vm
 		m.listed = true
 		m.leaving = listed.State == store.VMLeaving
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -10,6 +10,8 @@
 	"slices"
 
 	"github.com/puzpuzpuz/xsync/v4"
+
+	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
 // VM is the state of one VM as this daemon knows it.
@@ -18,6 +20,8 @@
 	// Peer is the address of the VM's peer listener (UDP).
 	Peer          netip.AddrPort
 	FailureDomain string
+	// Capacity is what the VM declares that it can carry.
+	Capacity store.Capacity
 	// Leaving is whether the VM takes no new work.
 	Leaving bool
 	// Reachable is false while the VM is held as unreachable after failed calls.
--- a/internal/membership/era.go
+++ b/internal/membership/era.go
@@ -69,5 +69,5 @@
 // another one, in the first list of a new era. m.mu must be held.
 func (m *Members) ownRegistrationLost() bool {
 	own, ok := m.registered[m.self.Name]
-	return !ok || own.missing || own.vm.Address != m.self.Peer.String() || own.vm.FailureDomain != m.self.FailureDomain
+	return !ok || own.missing || own.vm.Address != m.self.Peer.String() || own.vm.FailureDomain != m.self.FailureDomain || own.vm.Capacity != m.self.Capacity
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,6 +1,6 @@
 // Package membership tracks which daemons are live, registers this one and chooses the
 // home of each database group: the daemon of this failure domain that runs the group's
-// units of work, by rendezvous hashing over the VMs that this daemon considers live.
+// units of work, by weighted rendezvous hashing over the VMs that this daemon considers live.
 package membership
 
 import (
@@ -31,6 +31,8 @@
 type registration struct {
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
+	// Capacity is missing in registrations of daemons that don't declare it.
+	Capacity store.Capacity `json:"capacity,omitzero"`
 }
 
 // viewInterval is the time between checks whether a VM has become usable again.
@@ -365,7 +367,7 @@
 		m.log.StateChange("vm_entry_ignored", "entry", o.Name, "error", err.Error())
 		return
 	}
-	vm := store.VM{Name: o.Name, Address: r.Address, FailureDomain: r.FailureDomain, State: store.VMLive}
+	vm := store.VM{Name: o.Name, Address: r.Address, FailureDomain: r.FailureDomain, State: store.VMLive, Capacity: r.Capacity}
 	m.registered[o.Name] = registeredVM{vm: vm, version: o.Version}
 }
 
@@ -421,7 +423,7 @@
 func (m *Members) register(ctx context.Context, objects Objects) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r := registration{Address: m.self.Peer.String(), FailureDomain: m.self.FailureDomain}
+	r := registration{Address: m.self.Peer.String(), FailureDomain: m.self.FailureDomain, Capacity: m.self.Capacity}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode registration: %w", err)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -145,6 +146,86 @@
 	})
 }
 
+// registrationWith returns the registration of a VM that declares a capacity.
+func registrationWith(name, address string, c store.Capacity) store.Object {
+	o := registrationObject(name, address, "north")
+	value, err := json.Marshal(registration{Address: address, FailureDomain: "north", Capacity: c})
+	if err != nil {
+		panic(err)
+	}
+	o.Value = value
+	return o
+}
+
+func TestDeclaredCapacity(t *testing.T) {
+	small, large := store.Capacity{Processor: 0.192, Link: 10}, store.Capacity{Processor: 0.8, Link: 200}
+	// Guards against other daemons that rank a VM by what it had before its restart.
+	Convey("A daemon that restarts with another capacity replaces its registration, and one with the same capacity doesn't", t, func() {
+		s := &fakeStore{}
+		for _, c := range []store.Capacity{small, large, large, {}} {
+			m := newMembers("a")
+			m.self.Capacity = c
+			m.Register(context.Background(), s)
+			other := newMembers("b")
+			stored := s.stored
+			stored.Key = store.Key{Kind: KindVM, Name: "a"}
+			other.Replace([]store.Object{stored})
+			vm, ok := other.view.Load().Find("a")
+			So(ok, ShouldBeTrue)
+			So(vm.Capacity, ShouldResemble, c)
+		}
+		So(s.stored.Version, ShouldEqual, store.Revision(3))
+	})
+	// Guards against an upgrade that rewrites all registrations of a deployment that declares
+	// no capacities, and against registrations of earlier daemons that are ignored.
+	Convey("A registration without a capacity has the format of earlier daemons and is accepted", t, func() {
+		const earlier = `{"address":"10.0.0.1:7440","failure_domain":"north"}`
+		So(string(registrationObject("a", "10.0.0.1:7440", "north").Value), ShouldEqual, earlier)
+		b := newMembers("b")
+		b.Replace([]store.Object{{Key: store.Key{Kind: KindVM, Name: "a"}, Version: 1, Value: []byte(earlier)}})
+		vm, ok := b.view.Load().Find("a")
+		So(ok, ShouldBeTrue)
+		So(vm.Capacity, ShouldResemble, store.Capacity{})
+	})
+	// Guards against a restored store that keeps an old capacity of this VM for good.
+	Convey("A daemon registers again if the first list of a new era has another capacity of it", t, func() {
+		for _, c := range []store.Capacity{small, large} {
+			a := newMembers("a")
+			a.self.Capacity = large
+			a.Replace([]store.Object{registrationWith("a", "10.0.0.1:7440", large)})
+			a.BeginEra(store.AnnouncedEra(2))
+			a.Replace([]store.Object{registrationWith("a", "10.0.0.1:7440", c)})
+			So(len(a.removed) == 1, ShouldEqual, c != large)
+		}
+	})
+	// Guards against daemons that follow different relays or send units of a group to
+	// different homes because they learned of the registrations in another order.
+	Convey("Daemons that get the registrations in another order, at once or one by one, agree, and the relay has a large link", t, func() {
+		registrations := []store.Object{
+			registrationWith("a", "10.0.0.1:7440", small), registrationWith("b", "10.0.0.2:7440", small), registrationObject("c", "10.0.0.3:7440", "north"),
+			registrationWith("d", "10.0.0.4:7440", large), registrationWith("e", "10.0.0.5:7440", small),
+		}
+		a, b := newMembers("a"), newMembers("b")
+		a.self.Capacity = small
+		a.Replace(registrations)
+		b.Replace(nil)
+		for _, o := range slices.Backward(registrations) {
+			b.Change(o)
+		}
+		So(a.Relay().Name(), ShouldEqual, "d")
+		So(b.Relay().Name(), ShouldEqual, "d")
+		homes := map[string]int{}
+		for i := range 1000 {
+			group := fmt.Sprint("g", i)
+			So(homeName(a, group), ShouldEqual, homeName(b, group))
+			So(a.QuotaOwners("north", group), ShouldResemble, b.QuotaOwners("north", group))
+			homes[homeName(a, group)]++
+		}
+		// d has 0.8 of 1.568 cores.
+		So(homes["d"], ShouldBeBetween, 460, 560)
+	})
+}
+
 func TestRemovedRegistration(t *testing.T) {
 	Convey("A daemon whose registration is removed registers again", t, func() {
 		s := &fakeStore{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,8 @@
 	local.Configuration = &n.configuration
 	self := fleet.VM{
 		Name: settings.Name, FailureDomain: settings.FailureDomain,
-		Peer: netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
+		Peer:     netip.AddrPortFrom(settings.IP, uint16(settings.FirstPort)),
+		Capacity: settings.Capacity,
 	}
 	n.members = membership.New(self, settings.Regions, local, n.log)
 	n.local = local
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -97,6 +97,17 @@
 	Address       string  `json:"address"`
 	FailureDomain string  `json:"failure_domain"`
 	State         VMState `json:"state"`
+	// Capacity is zero if the VM does not declare it.
+	Capacity Capacity `json:"capacity,omitzero"`
+}
+
+// Capacity is what a VM declares that it can carry. A value that is not positive is not
+// declared.
+type Capacity struct {
+	// Processor is the number of processor cores that the VM may use; it may be a fraction.
+	Processor float64 `json:"processor,omitempty"`
+	// Link is the bandwidth of the VM's link in Mbit/s.
+	Link float64 `json:"link,omitempty"`
 }
 
 // Errors of the store.
