--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/standin/site"
+	"github.com/laburnumrack/laburnumrack/internal/store"
 )
 
 // testCluster is a simulated platform, with a store and one group of targets, and the
@@ -36,6 +37,8 @@
 	// strictRevocation, if not zero, is the time of strict revocation at daemons started
 	// from now on.
 	strictRevocation time.Duration
+	// capacity, if not zero, is the capacity in the settings of daemons started from now on.
+	capacity store.Capacity
 	// metricsListen is the metrics address of daemons started from now on; empty for
 	// none.
 	metricsListen string
@@ -147,6 +150,9 @@
 		"bootstrap": tc.firstStart, "platform": map[string]any{"addr": storeAddress, "form": "objects"},
 		"cloud": map[string]any{"addr": tc.promotionServer.Address}, "a_field_of_tomorrow": true,
 	}
+	if tc.capacity != (store.Capacity{}) {
+		site.SetCapacity(settings, tc.capacity)
+	}
 	data, err := json.Marshal(settings)
 	if err != nil {
 		tc.t.Fatal(err)
