--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -42,3 +42,13 @@
 		}
 	})
 }
+
+// Guards against a founder with a slow link: the founder of a failure domain of 50 VMs sent
+// 0.2 MB to each over 10 Mbit/s, and its followers took it for lost.
+func TestFounderDelay(t *testing.T) {
+	Convey("A VM with a slow link lets others become founder, one with a fast link or an unknown one does not wait", t, func() {
+		So(founderDelay(10), ShouldEqual, slowFounderDelay)
+		So(founderDelay(200), ShouldEqual, 0)
+		So(founderDelay(0), ShouldEqual, 0)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,6 +228,7 @@
 // the founder of the failure domain before.
 func (n *Node) follow() {
 	if n.settings.FirstStart {
+		ctxtime.Sleep(n.ctx, founderDelay(n.settings.Capacity.Link))
 		if err := n.members.Found(n.ctx, n.store); err != nil {
 			n.log.StateChange("founder_unknown", "error", err.Error())
 		}
@@ -240,6 +241,25 @@
 	}
 }
 
+// Choice of the founder by link.
+const (
+	// founderLink is the link in Mbit/s from which on a VM becomes founder at once: the
+	// founder sends the first copies of all lists to its whole failure domain.
+	founderLink = 100
+	// slowFounderDelay is the head start that a VM with a slower link gives to others. The
+	// VMs of a system start within 0.3 s of each other.
+	slowFounderDelay = 300 * time.Millisecond
+)
+
+// founderDelay returns how long a VM with the given link in Mbit/s, 0 if it declares none,
+// waits before it tries to become the founder of its failure domain.
+func founderDelay(link float64) time.Duration {
+	if link > 0 && link < founderLink {
+		return slowFounderDelay
+	}
+	return 0
+}
+
 // Limits of the wait for the list of VMs.
 const (
 	// sourceTimeout bounds the wait. A store that does not answer this list in that time
