--- a/internal/peer/pack_test.go
+++ b/internal/peer/pack_test.go
@@ -17,7 +17,7 @@
 	for i := range n {
 		w.Page.Objects = append(w.Page.Objects, store.Object{
 			Key: store.Key{Kind: "things", Name: fmt.Sprintf("i-%010x", i*7919)}, Version: revision,
-			Value: fmt.Appendf(nil, `{"service":"g%d","addr":"10.%d.64.%d:8080","zone":"osijek","version":"v1","slots":5,"state":"ready","cold_left_ms":0,"db_role":"replica","seq":4}`, i/3, i%6, i%250),
+			Value: fmt.Appendf(nil, `{"group":"g%d","address":"10.%d.64.%d:8080","domain":"osijek","version":"v1","slots":5,"state":"ready","warm_up_left":0,"primary":false,"heartbeat":4}`, i/3, i%6, i%250),
 		})
 	}
 	return w
