Raise the placement cost of closing another tenant's connection

With twice the time of opening, a near replica with room was hardly cheaper than the local one without: its own openings take two round trips longer.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -750,9 +750,14 @@
 	p.failWaiters(func(*waiter) bool { return true })
 }
 
+// evictionCostFactor multiplies the time of opening a connection where another tenant's is
+// closed for it: that one will have to be opened again, and the new one too once it is closed
+// in its turn.
+const evictionCostFactor = 3
+
 // OpeningCost returns by how much longer a statement of a tenant is expected to take because
-// it finds no idle connection of the tenant, 0 if there is one. It includes the time to open
-// another connection again that is closed for it. Without SetKeepIdle it is 0.
+// it finds no idle connection of the tenant, 0 if there is one. It includes the openings that
+// follow where another tenant's connection is closed. Without SetKeepIdle it is 0.
 func (p *Pool) OpeningCost(tenant string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -763,7 +768,7 @@
 	if own := p.tenants[tenant]; room || own.open > own.pinned {
 		return p.openTime
 	}
-	return 2 * p.openTime
+	return evictionCostFactor * p.openTime
 }
 
 // Full reports whether the target had no room for another connection within the last
--- a/internal/backend/pool_fault_test.go
+++ b/internal/backend/pool_fault_test.go
@@ -251,11 +251,11 @@
 		a, _ := p.AcquireFor("a", 1, 0, soon())
 		b, _ := p.AcquireFor("b", 1, 0, soon())
 		So(p.OpeningCost("a"), ShouldEqual, p.openTime)
-		So(p.OpeningCost("c"), ShouldEqual, 2*p.openTime)
+		So(p.OpeningCost("c"), ShouldEqual, evictionCostFactor*p.openTime)
 		p.Release(a)
 		p.Release(b)
 		So(p.OpeningCost("a"), ShouldEqual, 0)
-		So(p.OpeningCost("c"), ShouldEqual, 2*p.openTime)
+		So(p.OpeningCost("c"), ShouldEqual, evictionCostFactor*p.openTime)
 	})
 }
 
--- a/internal/executor/tenant_test.go
+++ b/internal/executor/tenant_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -108,3 +110,83 @@
 		}
 	})
 }
+
+// countingDialer opens connections that are never used, and counts them. The address that
+// it dials is the time that this takes.
+type countingDialer struct{ dials int }
+
+func (d *countingDialer) Dial(_ context.Context, address, _, _, _ string) (backend.Conn, error) {
+	took, err := time.ParseDuration(address)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(took)
+	d.dials++
+	return &fakeConn{target: &fakeTarget{}}, nil
+}
+
+// Guards against reads that all go to the nearest replica, whose connections then serve all
+// tenants while those of the other replica serve none.
+func TestReadsOfTenantsUseAllReplicas(t *testing.T) {
+	Convey("Fewer connections are opened if reads go where their tenant has a connection", t, func() {
+		const tenants, skew, limit, requests = 80, 1.2, 11, 600
+		// The leader and two replicas. Opening a connection takes 12 ms of a slot and, to
+		// another failure domain, two round trips of 3 ms.
+		distances, openTimes := []int{1, 0, 1}, []string{"18ms", "12ms", "18ms"}
+		play := func(useOpening bool) (dials int, reads []int) {
+			dialer := &countingDialer{}
+			random := rand.New(rand.NewPCG(1, 2))
+			var targets []*backend.Target
+			for i := range distances {
+				target := backend.NewTarget(catalog.Target{ID: fmt.Sprint("i-", i), Address: openTimes[i], Slots: 4}, dialer)
+				target.Pool.SetKeepIdle(true)
+				target.Pool.SetLimits(1, limit)
+				targets = append(targets, target)
+			}
+			reads = make([]int, len(targets))
+			zipf := make([]float64, tenants)
+			total := 0.0
+			for i := range zipf {
+				zipf[i] = math.Pow(float64(i+1), -skew)
+				total += zipf[i]
+			}
+			for range requests {
+				x, n := random.Float64()*total, 0
+				for n < tenants-1 && x >= zipf[n] {
+					x -= zipf[n]
+					n++
+				}
+				tenant, at := fmt.Sprint(n), 0
+				if random.IntN(2) == 0 {
+					var candidates []Candidate
+					for i, target := range targets {
+						c := Candidate{Index: i, Leader: i == 0, Distance: distances[i], Slots: 4, Latency: 25 * time.Millisecond}
+						if useOpening {
+							c.Opening = target.Pool.OpeningCost(tenant)
+						}
+						candidates = append(candidates, c)
+					}
+					equalizeLeaderOpening(candidates)
+					at = RankCandidates(candidates, Requirement{})[0]
+					reads[at]++
+				}
+				c, verdict := targets[at].Pool.AcquireFor(tenant, 1, 0, time.Now().Add(time.Second))
+				if verdict != backend.Acquired {
+					t.Errorf("request of tenant %s: verdict %d", tenant, verdict)
+					continue
+				}
+				targets[at].Pool.Release(c)
+			}
+			return dialer.dials, reads
+		}
+		var nearest, sticky int
+		var readsNearest, readsSticky []int
+		var wg sync.WaitGroup
+		wg.Go(func() { nearest, readsNearest = play(false) })
+		wg.Go(func() { sticky, readsSticky = play(true) })
+		wg.Wait()
+		t.Logf("%d requests, half of them reads: %d openings with all reads at the nearest replica %v, %d with the cost of opening %v",
+			requests, nearest, readsNearest, sticky, readsSticky)
+		So(sticky, ShouldBeLessThan, nearest)
+	})
+}
