--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -24,8 +24,8 @@
 	firstBackoff = 50 * time.Millisecond
 	// growBackoff is the same for a pool with tenants and with connections that are not held
 	// by transactions: it serves other tenants in the places of these meanwhile. With
-	// fullBackoff, 6 homes of 80 tenants that started at once were refused 108 times in 3 s by
-	// a target that counted old connections.
+	// fullBackoff, 6 homes of 80 tenants that started at once were refused about 100 times in
+	// 3 s by a target that counted old connections, with this value about 40 times.
 	growBackoff = time.Second
 	// fullMemory is how long after a target had no room idle connections are closed to make
 	// room for those of other homes: the time for which a target counts the connections of a
@@ -113,13 +113,14 @@
 	fullUntil time.Time              // guarded by mu; end of the time for which the target counts as full
 	redialAt  time.Time              // guarded by mu; end of the backoff after the target was full
 	growAt    time.Time              // guarded by mu; end of growBackoff
-	// replaceAt is the same for a dial in the place of a connection that was closed for it.
+	// replaceAt is the end of the backoff after the target refused a connection in the place of
+	// one that was closed for it.
 	replaceAt      time.Time            // guarded by mu
 	tenantRedialAt map[string]time.Time // guarded by mu; end of the backoff of a tenant whose dial failed
 	fullAt         time.Time            // guarded by mu; when the target last had no room
 	refusedLast    bool                 // guarded by mu; set if the target had no room for the last connection dialed
 	keepIdle       bool                 // guarded by mu; set if idle connections are kept as a cache of those of tenants
-	tenanted       bool                 // guarded by mu; set once a request has had a tenant
+	tenanted       bool                 // guarded by mu; set once the pool is known to serve tenants
 	closed         bool                 // guarded by mu
 }
 
