Divide the slot time of a target in proportion to the tenants' declared rates

Equal shares held large tenants to the share of small ones, so that their valuable requests were refused for less valuable ones of small tenants. The home takes the rate from its configuration, which needs no field in the messages between daemons.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -119,8 +119,10 @@
 // predicted service time: otherwise one slow request could raise the estimate so far that
 // no request runs any more to correct it.
 func (q *Queue) Offer(now time.Time, t Ticket) Decision {
+	account := q.shares.account(now, t.Tenant)
+	q.shares.declare(account, t.TenantRate)
 	w := &queuedTicket{
-		id: t.ID, account: q.shares.account(now, t.Tenant), weight: max(t.Weight, 1), kind: t.Kind, cost: t.Cost,
+		id: t.ID, account: account, weight: max(t.Weight, 1), kind: t.Kind, cost: t.Cost,
 		deadline: t.Deadline, latestStart: t.LatestStart,
 	}
 	if w.deadline.IsZero() {
@@ -344,7 +346,7 @@
 		w := order[i]
 		out = append(out, eviction{ticket: w, reason: q.reason(w, reason)})
 		order = slices.Delete(order, i, i+1)
-		w.account.claim -= q.slotTime(w).Seconds()
+		w.account.withdraw(q.slotTime(w))
 		q.remove(w)
 	}
 	if q.shares.competing() && q.floor.excludes(now, q.weightPerCost(offered)) && q.givesWay(offered, order) {
@@ -380,10 +382,10 @@
 // cost, and the one with the latest deadline among equals. If any ticket is of a tenant above its share, only
 // those of the tenants that are most above it count.
 func (q *Queue) victim(tickets []*queuedTicket) int {
-	minClaim := q.minClaim(tickets)
+	minDemand := q.minDemand(tickets)
 	victim, least := -1, 0.0
 	for i, w := range tickets {
-		if !w.account.claimsAtLeast(minClaim) {
+		if !w.account.demandsAtLeast(minDemand) {
 			continue
 		}
 		d := q.weightPerCost(w)
@@ -396,21 +398,21 @@
 
 // givesWay reports whether w is of one of the tenants that are most above their share.
 func (q *Queue) givesWay(w *queuedTicket, tickets []*queuedTicket) bool {
-	return w.account.overShare && w.account.claimsAtLeast(q.minClaim(tickets))
+	return w.account.overShare && w.account.demandsAtLeast(q.minDemand(tickets))
 }
 
-// minClaim returns the least claim of the tenants that are most above their share. It is 0
+// minDemand returns the least demand of the tenants that are most above their share. It is 0
 // if no ticket is of a tenant above its share.
-func (q *Queue) minClaim(tickets []*queuedTicket) float64 {
+func (q *Queue) minDemand(tickets []*queuedTicket) float64 {
 	largest := 0.0
 	if q.shares.competing() {
 		for _, w := range tickets {
 			if w.account.overShare {
-				largest = max(largest, w.account.claim)
+				largest = max(largest, w.account.demand)
 			}
 		}
 	}
-	return largest * (1 - claimTolerance)
+	return largest * (1 - demandTolerance)
 }
 
 // weightPerCost returns the weight of w per nanosecond of its cost.
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,14 +16,22 @@
 	minUse = 0.001
 	// pruneInterval is the minimum time between two searches for tenants to forget.
 	pruneInterval = time.Second
-	// claimTolerance is the share of the largest claim by which the claims of tenants with
-	// equal demand differ by chance.
-	claimTolerance = 0.35
+	// demandTolerance is the share of the largest demand by which the demands of tenants
+	// that send alike in proportion to their weights differ by chance.
+	demandTolerance = 0.35
+	// minRate and maxRate bound the declared rates, in operations per second, so that sums
+	// and quotients of them stay finite.
+	minRate, maxRate = 1e-3, 1e9
 )
 
 // account holds a tenant's use of the slots of one target.
 type account struct {
 	tenant string
+	// rate is the rate that the tenant declares, or zero if it declares none.
+	rate float64
+	// weight is the tenant's part of the slot time in proportion to the weights of the
+	// others.
+	weight float64
 	// use is the slot time that the tenant has used, in seconds, decayed with useDecay. A
 	// tenant that holds n slots for long has a use of n seconds.
 	use float64
@@ -33,6 +42,8 @@
 	waiting int
 	// claim is the use plus the slot time of the waiting tickets, in seconds.
 	claim float64
+	// demand is the claim in proportion to the weight.
+	demand float64
 	// overShare is set if the claim exceeds the tenant's share, and servedLast if the use
 	// alone exceeds it.
 	overShare, servedLast bool
@@ -54,18 +65,30 @@
 	return a.waiting == 0 && a.held == 0 && a.use < minUse
 }
 
-// claimsAtLeast reports whether the tenant is above its share with a claim of at least
-// minClaim. It is true for all tenants if minClaim is zero.
-func (a *account) claimsAtLeast(minClaim float64) bool {
-	return minClaim == 0 || a.overShare && a.claim >= minClaim
+// withdraw removes the slot time of a ticket that no longer waits from the claim.
+func (a *account) withdraw(slotTime time.Duration) {
+	a.claim -= slotTime.Seconds()
+	a.demand = a.claim / a.weight
+}
+
+// demandsAtLeast reports whether the tenant is above its share with a demand of at least
+// minDemand. It is true for all tenants if minDemand is zero.
+func (a *account) demandsAtLeast(minDemand float64) bool {
+	return minDemand == 0 || a.overShare && a.demand >= minDemand
 }
 
 // shares holds the accounts of the tenants with work or recent use and decides which of
 // them are above their share of the slot time.
 type shares struct {
 	accounts map[string]*account
+	// ordered holds the accounts in the order in which they were created, because sums in
+	// a fixed order keep the decisions deterministic.
+	ordered  []*account
 	prunedAt time.Time
-	claims   []float64 // buffer of assess
+	// weightsStale is set if the accounts or their rates have changed since the last
+	// update of the weights.
+	weightsStale bool
+	byDemand     []*account // buffer of assess
 }
 
 func newShares() shares {
@@ -81,21 +104,66 @@
 func (s *shares) account(now time.Time, tenant string) *account {
 	if now.Sub(s.prunedAt) > pruneInterval {
 		s.prunedAt = now
-		for _, a := range s.accounts {
-			a.advance(now)
-			if a.idle() {
-				delete(s.accounts, a.tenant)
-			}
-		}
+		s.prune(now)
 	}
 	a, ok := s.accounts[tenant]
 	if !ok {
 		a = &account{tenant: tenant, updatedAt: now}
 		s.accounts[tenant] = a
+		s.ordered = append(s.ordered, a)
+		s.weightsStale = true
 	}
 	return a
 }
 
+// prune forgets the tenants without work or recent use.
+func (s *shares) prune(now time.Time) {
+	s.ordered = slices.DeleteFunc(s.ordered, func(a *account) bool {
+		a.advance(now)
+		if !a.idle() {
+			return false
+		}
+		delete(s.accounts, a.tenant)
+		s.weightsStale = true
+		return true
+	})
+}
+
+// declare sets the rate that a tenant declares. Zero and infinity mean none.
+func (s *shares) declare(a *account, rate float64) {
+	if math.IsInf(rate, 1) || !(rate > 0) {
+		rate = 0
+	} else {
+		rate = min(max(rate, minRate), maxRate)
+	}
+	if a.rate != rate {
+		a.rate = rate
+		s.weightsStale = true
+	}
+}
+
+// updateWeights sets the weights of all accounts to their rates in proportion to the mean
+// rate. Tenants that declare none weigh as the mean.
+func (s *shares) updateWeights() {
+	if !s.weightsStale {
+		return
+	}
+	s.weightsStale = false
+	sum, declared := 0.0, 0
+	for _, a := range s.ordered {
+		if a.rate > 0 {
+			sum += a.rate
+			declared++
+		}
+	}
+	for _, a := range s.ordered {
+		a.weight = 1
+		if a.rate > 0 {
+			a.weight = a.rate * float64(declared) / sum
+		}
+	}
+}
+
 // hold changes the number of slots that a tenant holds.
 func (s *shares) hold(now time.Time, tenant string, slots float64) {
 	a := s.account(now, tenant)
@@ -104,47 +172,45 @@
 }
 
 // assess updates all accounts and decides which tenants are above their share. The recent
-// use of all tenants together is what the target can serve. It is divided by max-min
-// fairness: tenants that claim less than an equal part get their claim, and the others
-// share the rest equally.
+// use of all tenants together is what the target can serve. It is divided by weighted
+// max-min fairness: tenants that claim less than their part by weight get their claim, and
+// the others share the rest in proportion to their weights.
 func (s *shares) assess(now time.Time, tickets []*queuedTicket, slotTime func(*queuedTicket) time.Duration) {
-	for _, a := range s.accounts {
+	s.updateWeights()
+	available := 0.0
+	for _, a := range s.ordered {
 		a.advance(now)
 		a.claim = a.use
-	}
-	s.claims = s.claims[:0]
-	for _, a := range s.accounts {
-		s.claims = append(s.claims, a.use)
-	}
-	// Summing in a fixed order keeps the decisions deterministic.
-	slices.Sort(s.claims)
-	available := 0.0
-	for _, use := range s.claims {
-		available += use
+		available += a.use
 	}
 	for _, w := range tickets {
 		w.account.claim += slotTime(w).Seconds()
 	}
-	s.claims = s.claims[:0]
-	for _, a := range s.accounts {
-		s.claims = append(s.claims, a.claim)
+	for _, a := range s.ordered {
+		a.demand = a.claim / a.weight
 	}
-	slices.Sort(s.claims)
-	share := fairShare(s.claims, available)
-	for _, a := range s.accounts {
-		a.overShare, a.servedLast = a.claim > share, a.use > share
+	s.byDemand = append(s.byDemand[:0], s.ordered...)
+	slices.SortStableFunc(s.byDemand, func(a, b *account) int { return cmp.Compare(a.demand, b.demand) })
+	share := fairShare(s.byDemand, available)
+	for _, a := range s.ordered {
+		a.overShare, a.servedLast = a.demand > share, a.use > share*a.weight
 	}
 }
 
-// fairShare returns the largest claim that is granted in full if the available amount is
-// divided by max-min fairness. The claims are in ascending order.
-func fairShare(claims []float64, available float64) float64 {
-	for i, claim := range claims {
-		equal := available / float64(len(claims)-i)
-		if claim > equal {
-			return max(equal, 0)
+// fairShare returns the largest demand that is granted in full if the available amount is
+// divided by weighted max-min fairness. The accounts are in ascending order of demand.
+func fairShare(byDemand []*account, available float64) float64 {
+	weight := 0.0
+	for _, a := range byDemand {
+		weight += a.weight
+	}
+	for _, a := range byDemand {
+		share := available / weight
+		if a.demand > share {
+			return max(share, 0)
 		}
-		available -= claim
+		available -= a.claim
+		weight -= a.weight
 	}
 	return math.Inf(1)
 }
--- a/internal/admission/shares_test.go
+++ b/internal/admission/shares_test.go
@@ -11,12 +11,69 @@
 	"github.com/laburnumrack/laburnumrack/internal/outcome"
 )
 
+// accountsWith returns accounts with the given claims and weights in order of demand.
+func accountsWith(claims, weights []float64) []*account {
+	var accounts []*account
+	for i, claim := range claims {
+		accounts = append(accounts, &account{claim: claim, weight: weights[i], demand: claim / weights[i]})
+	}
+	return accounts
+}
+
 func TestFairShare(t *testing.T) {
 	Convey("Claims below an equal part are granted, and the others share the rest equally", t, func() {
-		So(fairShare([]float64{1, 2, 10, 20}, 13), ShouldEqual, 5)
-		So(fairShare([]float64{4, 4, 4}, 6), ShouldEqual, 2)
-		So(fairShare([]float64{1, 2}, 3), ShouldEqual, math.Inf(1))
-		So(fairShare([]float64{1, 2}, 0), ShouldEqual, 0)
+		So(fairShare(accountsWith([]float64{1, 2, 10, 20}, []float64{1, 1, 1, 1}), 13), ShouldEqual, 5)
+		So(fairShare(accountsWith([]float64{4, 4, 4}, []float64{1, 1, 1}), 6), ShouldEqual, 2)
+		So(fairShare(accountsWith([]float64{1, 2}, []float64{1, 1}), 3), ShouldEqual, math.Inf(1))
+		So(fairShare(accountsWith([]float64{1, 2}, []float64{1, 1}), 0), ShouldEqual, 0)
+	})
+	Convey("With weights, the others share the rest in proportion to them", t, func() {
+		// 1 of 13 is granted, and 12 are divided 1:3.
+		So(fairShare(accountsWith([]float64{1, 5, 30}, []float64{2, 1, 3}), 13), ShouldEqual, 3)
+		So(fairShare(accountsWith([]float64{1, 3, 9}, []float64{2, 1, 3}), 13), ShouldEqual, math.Inf(1))
+	})
+}
+
+// Guards against declared rates that make a weight zero, infinite or not a number, and
+// against weights that outlast a change of the rates.
+func TestWeights(t *testing.T) {
+	weights := func(rates ...float64) []float64 {
+		s := newShares()
+		for i, rate := range rates {
+			s.declare(s.account(at(0), string(rune('a'+i))), rate)
+		}
+		s.updateWeights()
+		var out []float64
+		for _, a := range s.ordered {
+			out = append(out, a.weight)
+		}
+		return out
+	}
+	Convey("Tenants weigh in proportion to their rates, those without one as the mean", t, func() {
+		So(weights(1, 3, 8), ShouldResemble, []float64{0.25, 0.75, 2})
+		So(weights(1, math.Inf(1), 3, 0), ShouldResemble, []float64{0.5, 1, 1.5, 1})
+		So(weights(0, math.Inf(1)), ShouldResemble, []float64{1, 1})
+		for _, w := range weights(math.MaxFloat64, math.SmallestNonzeroFloat64, math.MaxFloat64, math.NaN(), -1) {
+			So(w, ShouldBeGreaterThan, 0)
+			So(w, ShouldBeLessThan, 10)
+		}
+	})
+	Convey("A changed rate and a forgotten tenant change the weights", t, func() {
+		s := newShares()
+		a, b := s.account(at(0), "a"), s.account(at(0), "b")
+		s.declare(a, 1)
+		s.declare(b, 3)
+		s.updateWeights()
+		So(b.weight, ShouldEqual, 1.5)
+		s.declare(b, 1)
+		s.updateWeights()
+		So(b.weight, ShouldEqual, 1)
+		s.declare(b, 3)
+		b.held = 1
+		s.prune(at(10))
+		s.updateWeights()
+		So(s.ordered, ShouldResemble, []*account{b})
+		So(b.weight, ShouldEqual, 1)
 	})
 }
 
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -15,6 +15,10 @@
 	// Tenant is the tenant whose slot time the request uses; empty for none, which counts
 	// as a tenant of its own.
 	Tenant string
+	// TenantRate is the rate that the tenant declares, which its share of the slot time is
+	// in proportion to. Zero and infinity mean none: the tenant's share is that of the
+	// mean declared rate.
+	TenantRate float64
 	// Weight is the value of serving the request in time. Values below 1 count as 1.
 	Weight int
 	// Kind names the class of requests that share a service time estimate, such as those
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -70,6 +70,8 @@
 type Request struct {
 	// Tenant is the tenant whose slot time the statement uses; empty for none.
 	Tenant string
+	// TenantRate is the rate that the tenant declares; zero and infinity mean none.
+	TenantRate float64
 	// Kind groups requests that have similar service times.
 	Kind string
 	// Weight is the value of serving the request.
@@ -92,7 +94,7 @@
 	g.grow(now)
 	id := admission.ID(lastTicketID.Add(1))
 	d := g.queue.Offer(now, admission.Ticket{
-		ID: id, Tenant: r.Tenant, Weight: r.Weight, Kind: r.Kind, Cost: g.cost(r), Deadline: r.Deadline, LatestStart: r.LatestStart,
+		ID: id, Tenant: r.Tenant, TenantRate: r.TenantRate, Weight: r.Weight, Kind: r.Kind, Cost: g.cost(r), Deadline: r.Deadline, LatestStart: r.LatestStart,
 	})
 	g.notifyRefused(d.Evicted)
 	switch d.Verdict {
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -103,7 +103,7 @@
 // enterGateAndAcquire waits for admission by the target's gate and then for a connection.
 func (e *Executor) enterGateAndAcquire(r *request, t *backend.Target) (*backend.PooledConn, backend.Verdict) {
 	refusal, ok := t.Gate.Enter(backend.Request{
-		Tenant: r.unit.header.Tenant, Kind: r.gateKind(), Weight: max(1, lowestPriority-r.route.Priority), Statements: e.expectedStatements(r),
+		Tenant: r.unit.header.Tenant, TenantRate: e.tenantRate(r), Kind: r.gateKind(), Weight: max(1, lowestPriority-r.route.Priority), Statements: e.expectedStatements(r),
 		Deadline: r.answerDeadline(), LatestStart: r.latestStart(),
 	})
 	r.overShare = refusal.Reason == outcome.OverShare
--- a/internal/executor/tenant.go
+++ b/internal/executor/tenant.go
@@ -52,6 +52,19 @@
 	return r.denial.code == query.OK
 }
 
+// tenantRate returns the rate that the tenant of r declares in the configuration in force,
+// or zero if it is not known.
+func (e *Executor) tenantRate(r *request) float64 {
+	if e.Configuration == nil {
+		return 0
+	}
+	c := e.Configuration.Current()
+	if c == nil {
+		return 0
+	}
+	return c.Tenants[r.unit.header.Tenant].Rate
+}
+
 // refuseTenant refuses a request with its denial and rolls back the transaction, if any.
 func (e *Executor) refuseTenant(r *request) query.Answer {
 	code := r.denial.code
--- a/internal/experiment/intime/load.go
+++ b/internal/experiment/intime/load.go
@@ -50,7 +50,9 @@
 type Job struct {
 	Class  int
 	Tenant string
-	Weight int
+	// TenantRate is the rate that the tenant declares; zero means none.
+	TenantRate float64
+	Weight     int
 	// Statement identifies the statement of the request. It is known to a policy at
 	// the arrival.
 	Statement string
--- a/internal/experiment/intime/run.go
+++ b/internal/experiment/intime/run.go
@@ -163,7 +163,7 @@
 		s.budget.RecordRequest(now)
 	}
 	s.attempts[t.id] = t
-	ticket := admission.Ticket{ID: t.id, Tenant: t.job.Tenant, Weight: t.job.Weight, Kind: t.job.Statement, Deadline: t.deadline}
+	ticket := admission.Ticket{ID: t.id, Tenant: t.job.Tenant, TenantRate: t.job.TenantRate, Weight: t.job.Weight, Kind: t.job.Statement, Deadline: t.deadline}
 	if s.options.StartShare > 0 {
 		ticket.LatestStart = now.Add(time.Duration(s.options.StartShare * float64(t.job.Timeout)))
 	}
