Count refusals by a home with their reason among those of the tenant

The gateway counted them by code, which does not tell an overloaded target from a missing primary. Replies of homes carry the reason; a gateway names at most 64 of them, because a faulty peer may send others.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -80,6 +80,8 @@
 	cutOff bool
 	// retryAfter is the delay before a retry that a gate returned with its last refusal.
 	retryAfter time.Duration
+	// refusal is the reason for which the statement was refused, empty if it was not.
+	refusal string
 	// overShare is set if the last gate refused the statement because its tenant was above
 	// its share of the target.
 	overShare bool
@@ -166,6 +168,7 @@
 // refuse counts and logs a refusal and returns the answer for the caller.
 func (e *Executor) refuse(r *request, code query.Code, reason, message string) query.Answer {
 	requestmetrics.Refused(reason)
+	r.refusal = reason
 	attrs := []any{
 		"request", r.statement.ID, "database", r.route.Database, "group", r.route.Group, "reason", reason, "code", code.String(),
 		"config_version", r.unit.header.Version, "tries", r.attempts, "waited_ms", (boottime.Now() - r.arrivedAt).Milliseconds(),
--- a/internal/executor/tenant_test.go
+++ b/internal/executor/tenant_test.go
@@ -1,6 +1,9 @@
 package executor
 
 import (
+	"bytes"
+	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +82,52 @@
 	}
 	revoked := tenantsOf(2, map[string]string{"other": "a"})
 
+	// Guards against refusals at a home whose reason the gateway doesn't learn, or which the
+	// log at the home doesn't attribute to the tenant.
+	Convey("A refusal has its reason in the reply and the tenant in the log", t, func() {
+		target := &fakeTarget{slots: make(chan struct{}, 3), serviceTime: time.Millisecond}
+		e := newExecutor(target)
+		served := e.Open(header).Run(call("valid", query.Read))
+		So(served.Answer.OK(), ShouldBeTrue)
+		So(served.Reason, ShouldBeEmpty)
+		e.Configuration.Apply(revoked)
+		So(e.Open(header).Run(call("refused", query.Read)).Reason, ShouldEqual, "unknown_key")
+		late := header
+		late.Version, late.Tenant, late.Key = 2, "a", catalog.DigestKey("other")
+		c := call("late", query.Write)
+		c.Age = 3 * time.Second
+		reply := e.Open(late).Run(c)
+		So(reply.Answer.Code, ShouldEqual, query.Busy)
+		So(reply.Answer.Message, ShouldStartWith, "not run: "+reply.Reason)
+		So(reply.Reason, ShouldNotBeEmpty)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var log bytes.Buffer
+		So(e.Log.Run(ctx, &log), ShouldBeNil)
+		refusals := 0
+		for line := range strings.Lines(log.String()) {
+			if strings.Contains(line, `"msg":"refused"`) {
+				refusals++
+				So(line, ShouldContainSubstring, `"tenant":"a"`)
+			}
+		}
+		So(refusals, ShouldEqual, 2)
+	})
+	// The share of a tenant is in proportion to its declared rate. Guards against the rate of
+	// another tenant or version.
+	Convey("The rate of a tenant is that of the configuration in force at the home", t, func() {
+		e := newExecutor(&fakeTarget{slots: make(chan struct{}, 3), serviceTime: time.Millisecond})
+		r := &request{unit: &unit{header: header}}
+		So(e.tenantRate(r), ShouldEqual, catalog.Unlimited)
+		changed := tenantsOf(2, map[string]string{"k": "a"})
+		changed.Tenants["a"] = catalog.Tenant{Name: "a", Rate: 7}
+		e.Configuration.Apply(changed)
+		So(e.tenantRate(r), ShouldEqual, 7)
+		r.unit.header.Tenant = ""
+		So(e.tenantRate(r), ShouldEqual, 0)
+		e.Configuration = nil
+		So(e.tenantRate(r), ShouldEqual, 0)
+	})
 	// Guards against units of a revoked key that reach a target by way of a gateway with an
 	// older configuration.
 	Convey("A unit of a revoked key is refused and not sent to a target", t, func() {
--- a/internal/executor/unit.go
+++ b/internal/executor/unit.go
@@ -62,7 +62,7 @@
 		u.executor.Log.Success("served", "request", r.statement.ID, "database", r.route.Database, "group", r.route.Group, "position", a.Position.String(),
 			"tries", r.attempts, "took_ms", total.Milliseconds(), "config_version", u.header.Version)
 	}
-	return stmtunit.Reply{Answer: a, CutOff: r.cutOff, Committed: u.committedPosition}
+	return stmtunit.Reply{Answer: a, Reason: r.refusal, CutOff: r.cutOff, Committed: u.committedPosition}
 }
 
 // Close ends the unit and rolls an open transaction back. Calling it again has no effect.
--- a/internal/frontend/quota.go
+++ b/internal/frontend/quota.go
@@ -41,12 +41,17 @@
 }
 
 // countRefusal counts the reply of a home among the refusals of the unit's tenant if it is
-// one. The reason is the code, because messages of targets are not bounded in number.
+// one. Refusals by a target, and by homes that send no reason, are counted by their code,
+// because messages of targets are not bounded in number.
 func (s *Session) countRefusal(r stmtunit.Reply) {
 	if s.tenants == nil || s.tenant == "" || r.Outcome != stmtunit.Answered {
 		return
 	}
 	if c := r.Answer.Code; c.NotRun() || c == query.Aborted || c == query.Unauthorized {
-		s.tenants.Refused(s.tenant, c.String())
+		reason := r.Reason
+		if reason == "" {
+			reason = c.String()
+		}
+		s.tenants.Refused(s.tenant, reason)
 	}
 }
--- a/internal/frontend/quota_test.go
+++ b/internal/frontend/quota_test.go
@@ -108,6 +108,16 @@
 		So(runStatement(s, query.Write, "w").Code, ShouldEqual, query.Busy)
 		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="limited",reason="busy"}`).Get(), ShouldEqual, 1)
 	})
+	// Guards against operators who see that a tenant is refused but not why.
+	Convey("Refusals by homes are counted with their reason", t, func() {
+		s, h, set := newSession(&fakeQuota{left: 9}, "db", "k")
+		h.refusal = "over_share"
+		runStatement(s, query.Write, "w")
+		runStatement(s, query.Begin, "")
+		runStatement(s, query.Read, "r")
+		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="limited",reason="over_share"}`).Get(), ShouldEqual, 2)
+		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="limited",reason="busy"}`).Get(), ShouldEqual, 0)
+	})
 	// Guards against refusals that operators cannot attribute to a tenant.
 	Convey("The log of a refusal names the tenant", t, func() {
 		a := newAccessTest(conf)
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -20,7 +20,9 @@
 	outcomes map[string]stmtunit.Outcome
 	// cutOff makes the home refuse all calls, like one that reaches neither the store nor
 	// replicas.
-	cutOff      bool
+	cutOff bool
+	// refusal, if not empty, is the reason for which the home refuses all calls.
+	refusal     string
 	calls       []string
 	lastCommits []position.Position
 	headers     []stmtunit.Header
@@ -54,6 +56,9 @@
 	if u.home.cutOff {
 		return stmtunit.Reply{Answer: query.Failure(query.Busy, query.Idle, "not run"), CutOff: true}
 	}
+	if u.home.refusal != "" {
+		return stmtunit.Reply{Answer: query.Failure(query.Busy, query.Idle, "not run: "+u.home.refusal), Reason: u.home.refusal}
+	}
 	if f := u.home.outcomes[c.Statement.Text]; f != stmtunit.Answered {
 		return stmtunit.Reply{Outcome: f}
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -22,7 +22,7 @@
 )
 
 // echoHome is a home whose units answer with the text of the statement and the session
-// value "k".
+// value "k", with the database of the unit as the reason.
 type echoHome struct {
 	// header is the header of the last unit that was opened.
 	header  atomic.Pointer[stmtunit.Header]
@@ -50,7 +50,7 @@
 	if u.header.Begin != nil {
 		state = query.Open
 	}
-	return stmtunit.Reply{Answer: query.Answer{Rows: []string{c.Statement.Text, c.Environment.Values["k"]}, State: state}, Committed: position.Position{Term: 1, Index: 2}}
+	return stmtunit.Reply{Answer: query.Answer{Rows: []string{c.Statement.Text, c.Environment.Values["k"]}, State: state}, Reason: u.header.Route.Database, Committed: position.Position{Term: 1, Index: 2}}
 }
 
 func (u *echoUnit) Close() { u.home.closed.Add(1) }
@@ -115,6 +115,16 @@
 		So(c.Open(want).Run(newCall("a")).Outcome, ShouldEqual, stmtunit.Answered)
 		So(*home.header.Load(), ShouldResemble, want)
 	})
+	// Guards against a gateway that cannot tell why a home refused, and against a reason in
+	// the replies to calls that were not refused.
+	Convey("The reason of a refusal reaches the gateway", t, func() {
+		home := &echoHome{}
+		c, _ := startServer(t, &Server{Name: "home", Opener: home}, "home")
+		So(c.Open(stmtunit.Header{Route: catalog.Route{Database: "over_share"}}).Run(newCall("a")).Reason, ShouldEqual, "over_share")
+		data, err := encoding.Marshal(stmtunit.Reply{})
+		So(err, ShouldBeNil)
+		So(string(data), ShouldNotContainSubstring, "Reason")
+	})
 	// Guards against larger messages, and messages that earlier versions do not know, in
 	// deployments without tenants.
 	Convey("A header without a tenant is encoded without the fields of tenants", t, func() {
--- a/internal/requestmetrics/tenants.go
+++ b/internal/requestmetrics/tenants.go
@@ -15,8 +15,11 @@
 	// maxCountedTenants is the number of tenants whose operations are counted to select
 	// the named ones.
 	maxCountedTenants = 20_000
-	// otherTenants is the label of all tenants without metrics of their own.
-	otherTenants = "other"
+	// maxReasons is the number of reasons for refusals with metrics of their own. The
+	// daemons use fewer than 40; the limit holds for reasons that a faulty peer sends.
+	maxReasons = 64
+	// other is the label of all tenants, and of all reasons, without metrics of their own.
+	other = "other"
 	// replacementFactor is the number of times as many operations that a tenant must have
 	// to replace a named one. It keeps tenants with similar numbers from replacing each
 	// other again and again, which would restart their counters.
@@ -34,11 +37,13 @@
 	operations map[string]uint64 // guarded by mu
 	// named holds the names of the metrics of each tenant that has its own.
 	named map[string]map[string]struct{} // guarded by mu
+	// reasons holds the reasons with metrics of their own.
+	reasons map[string]struct{} // guarded by mu
 }
 
 // NewTenants returns counters that are registered in set.
 func NewTenants(set *metrics.Set) *Tenants {
-	return &Tenants{set: set, operations: map[string]uint64{}, named: map[string]map[string]struct{}{}}
+	return &Tenants{set: set, operations: map[string]uint64{}, named: map[string]map[string]struct{}{}, reasons: map[string]struct{}{}}
 }
 
 // Operation counts an operation of a tenant.
@@ -53,10 +58,18 @@
 	t.inc(tenant, `laburnumrack_tenant_operations_total{tenant=%q}`)
 }
 
-// Refused counts a refusal of a tenant's statement. Reasons must be constants.
+// Refused counts a refusal of a tenant's statement. Reasons beyond the first maxReasons are
+// counted together.
 func (t *Tenants) Refused(tenant, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, known := t.reasons[reason]; !known {
+		if len(t.reasons) < maxReasons {
+			t.reasons[reason] = struct{}{}
+		} else {
+			reason = other
+		}
+	}
 	t.inc(tenant, `laburnumrack_tenant_refusals_total{tenant=%q,reason=%q}`, reason)
 }
 
@@ -64,7 +77,7 @@
 func (t *Tenants) inc(tenant, format string, labels ...any) {
 	names, ok := t.named[tenant]
 	if !ok {
-		tenant = otherTenants
+		tenant = other
 	}
 	name := fmt.Sprintf(format, append([]any{tenant}, labels...)...)
 	if ok {
--- a/internal/requestmetrics/tenants_test.go
+++ b/internal/requestmetrics/tenants_test.go
@@ -35,6 +35,20 @@
 		So(set.GetOrCreateCounter(`laburnumrack_tenant_operations_total{tenant="other"}`).Get(), ShouldEqual, 10_000-maxNamedTenants)
 		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="other",reason="rate_limit"}`).Get(), ShouldEqual, 10_000-maxNamedTenants)
 	})
+	// Guards against a number of time series that grows with the texts that a peer sends.
+	Convey("At most 64 reasons have a label, the rest are counted as other", t, func() {
+		set := metrics.NewSet()
+		c := NewTenants(set)
+		c.Operation("a")
+		for range 2 {
+			for i := range 1000 {
+				c.Refused("a", fmt.Sprint("reason-", i))
+			}
+		}
+		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="a",reason="reason-0"}`).Get(), ShouldEqual, 2)
+		So(set.GetOrCreateCounter(`laburnumrack_tenant_refusals_total{tenant="a",reason="other"}`).Get(), ShouldEqual, 2*(1000-maxReasons))
+		So(len(set.ListMetricNames()), ShouldEqual, 1+maxReasons+1)
+	})
 	// Guards against a large tenant that is not visible because 32 small ones came first.
 	Convey("A tenant with many more operations gets the label of one with few", t, func() {
 		set := metrics.NewSet()
--- a/internal/stmtunit/stmtunit.go
+++ b/internal/stmtunit/stmtunit.go
@@ -63,6 +63,9 @@
 	// Outcome is the outcome of the call. Peers encode it under the key "Fate".
 	Outcome Outcome `cbor:"Fate"`
 	Answer  query.Answer
+	// Reason is the reason for which the home refused the call, and empty if it did not.
+	// The gateway counts refusals by it, so it must be one of a fixed set of constants.
+	Reason string `cbor:",omitempty"`
 	// CutOff reports whether the home can't serve the group, though another home may:
 	// it can reach neither the store nor any replica to confirm the primary's
 	// answers, or the primary accepts no connection from it.
