--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -31,9 +31,9 @@
 	// exceeds that of a large tenant with many too many.
 	demandOffset = 8
 	// refusedPart is the part of the slot time of evicted requests that counts as claim. It
-	// tells a tenant that sends many times its share from one that has a burst. If all
-	// counted, the value in time with 80 tenants at 300% would be up to 5 points lower.
-	refusedPart = 0.5
+	// tells a tenant that sends many times its share from one that has a burst. With
+	// all of it, the value in time of 80 tenants at 300% was up to 2 points lower.
+	refusedPart = 0.4
 	// demandTolerance is the share of the largest demand by which the demands of tenants
 	// that send alike in proportion to their weights differ by chance.
 	demandTolerance = 0.35
--- a/internal/experiment/intime/tenants_test.go
+++ b/internal/experiment/intime/tenants_test.go
@@ -159,8 +159,10 @@
 }
 
 // zipfTenants is the number of tenants of the tests with tenants of different sizes, and
-// zipfExponent the exponent of their sizes.
+// zipfExponent the exponent of their sizes. The bounds of the first three seeds held with
+// parameters of the queue that missed them at two of the next five.
 const (
+	zipfSeeds    = 8
 	zipfTenants  = 80
 	zipfExponent = 1.2
 )
@@ -211,7 +213,7 @@
 	for name, loads := range map[string]func(float64) []float64{"equal": equalLoads, "zipf": zipfLoads} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := uint64(1); seed <= tenantSeeds; seed++ {
+			for seed := uint64(1); seed <= zipfSeeds; seed++ {
 				for _, load := range []float64{1.5, 2, 3} {
 					jobs := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, loads(load))
 					declareRates(jobs, loads(0.6))
@@ -238,7 +240,7 @@
 				t.Parallel()
 				isLarge := func(j Job) bool { return j.Tenant == fmt.Sprint("tenant-", large) }
 				others := func(j Job) bool { return !isLarge(j) }
-				for seed := uint64(1); seed <= tenantSeeds; seed++ {
+				for seed := uint64(1); seed <= zipfSeeds; seed++ {
 					for _, load := range []float64{0.6, 0.8, 0.95} {
 						usual := loads(load)
 						jobs := GenerateTenants(seed, Tenants(), tenantSlots, tenantLength, usual)
