Let a relay that the store refuses learn of changes from the second relay

Cause: in a fleet of one failure domain, a relay that the store refused asked the relays of other domains only, and kept a revoked key until the store served it again.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -217,8 +217,9 @@
 	return next, err
 }
 
-// pollAsRelay makes one call to the store for a feed that follows no relay. If it has no
-// copy and the store fails, it gets one from another relay.
+// pollAsRelay makes one call to the store for a feed that follows no relay. If the store
+// fails, another relay is asked if this daemon has no copy, and always for what must be
+// known soon: the store may refuse this VM and serve others.
 func (f *feed) pollAsRelay(ctx context.Context, from store.Point) (store.Point, error) {
 	wait := f.wait
 	if !f.mirror.isCurrent() {
@@ -226,7 +227,7 @@
 		wait = 0
 	}
 	next, err := f.pollStore(ctx, from, wait)
-	if err != nil && from.Revision == 0 {
+	if err != nil && (from.Revision == 0 || f.acrossDomains && isUnanswered(err)) {
 		if next, ok := f.pollAlternative(ctx, from); ok {
 			return next, nil
 		}
@@ -248,8 +249,8 @@
 	return next, err
 }
 
-// pollAlternative gets the objects from another relay, for a relay without a copy: the
-// store may refuse its VM and serve others. It reports whether there was one.
+// pollAlternative makes one watch call, without a wait, to a relay other than this daemon,
+// and reports whether it got an answer.
 func (f *feed) pollAlternative(ctx context.Context, from store.Point) (store.Point, bool) {
 	if f.relays == nil {
 		return from, false
