Add a failing test: a relay with a small link that sends a large page to many followers

What is left of the cause: pages are six times smaller now and relays are VMs with large links, but where no such VM exists, a relay still sends a page to all followers at once. Calls to it wait behind all windows of these connections; the intents are not answered within 0.4 s, nor new connections within 0.25 s.

--- a/internal/peer/slow_link_test.go
+++ b/internal/peer/slow_link_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,3 +83,97 @@
 		So(page.Page.Objects, ShouldHaveLength, 400)
 	})
 }
+
+// sendWindow is how many bytes a connection of a sharedLink may have on the way.
+const sendWindow = 64 << 10
+
+// sharedLink is the link of a VM: all connections that it accepts send over it in the order
+// of their writes.
+type sharedLink struct {
+	net.Listener
+	bytesPerSecond int
+	packets        chan packet
+}
+
+type packet struct {
+	conn *linkConn
+	data []byte
+}
+
+func newSharedLink(l net.Listener, bytesPerSecond int) *sharedLink {
+	s := &sharedLink{Listener: l, bytesPerSecond: bytesPerSecond, packets: make(chan packet, 1<<12)}
+	go func() {
+		for p := range s.packets {
+			time.Sleep(time.Duration(len(p.data)) * time.Second / time.Duration(bytesPerSecond))
+			// The receiver notices a failed write by the end of its connection.
+			_, _ = p.conn.Conn.Write(p.data)
+			<-p.conn.window
+		}
+	}()
+	return s
+}
+
+func (s *sharedLink) Accept() (net.Conn, error) {
+	c, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &linkConn{Conn: c, link: s, window: make(chan struct{}, sendWindow/writePartBytes)}, nil
+}
+
+type linkConn struct {
+	net.Conn
+	link   *sharedLink
+	window chan struct{}
+}
+
+func (c *linkConn) Write(b []byte) (int, error) {
+	c.window <- struct{}{}
+	c.link.packets <- packet{c, slices.Clone(b)}
+	return len(b), nil
+}
+
+// Guards against a relay without a large link that sends a configuration to all followers at
+// once: units and intents of the whole failure domain then wait behind it.
+func TestLargePagesToManyFollowers(t *testing.T) {
+	Convey("Calls are answered in time while a relay with 10 Mbit/s sends a page of 110 KB to 15 followers", t, func() {
+		const followers, objects, linkBytesPerSecond = 15, 220, 10_000_000 / 8
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Name: "relay", Objects: randomObjects(objects)}
+		go s.Serve(newSharedLink(l, linkBytesPerSecond))
+		t.Cleanup(func() { _ = l.Close(); s.Abort() })
+		clients := make([]*Client, followers)
+		for i := range clients {
+			clients[i] = NewClient(Identity{Name: fmt.Sprint("follower-", i)}, "relay", l.Addr().String(), &recordingObserver{})
+			t.Cleanup(clients[i].Close)
+			So(clients[i].watches.Connect(), ShouldBeNil)
+		}
+		pages := make(chan error, followers)
+		for _, c := range clients {
+			go func() {
+				_, err := c.Watch(WatchRequest{Kind: "things"})
+				pages <- err
+			}()
+		}
+		began := time.Now()
+		var slowest time.Duration
+		for received := 0; received < followers; {
+			select {
+			case err := <-pages:
+				So(err, ShouldBeNil)
+				received++
+			case <-time.After(20 * time.Millisecond):
+				// A new connection each time covers the handshake too.
+				c := NewClient(Identity{Name: "caller"}, "relay", l.Addr().String(), &recordingObserver{})
+				asked := time.Now()
+				reachable := c.IsReachable()
+				slowest = max(slowest, time.Since(asked))
+				c.Close()
+				So(reachable, ShouldBeTrue)
+			}
+		}
+		t.Logf("all pages after %v, slowest call %v", time.Since(began), slowest)
+		So(slowest, ShouldBeLessThan, dialTimeout)
+	})
+}
