Pace the large pages of a relay by its link

Cause: a relay sent the whole configuration to all its followers at once. All connections of the relay, also those of units, waited behind these pages or were closed as silent, and the pages were asked for again from the beginning. Compressed pages and relays with large links have ended that where there are VMs with large links. In a failure domain of VMs with 10 Mbit/s, pages still filled the windows of all followers' connections at once.

A page that had to wait is read again, so that it holds the newest version. Relays without a declared link send as before.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,8 +27,12 @@
 	Positions PositionSource
 	// Quotas answers requests for operations and tokens of tenants; it may be nil.
 	Quotas QuotaSource
+	// LinkMbps is the bandwidth of this VM's link in Mbit/s, 0 if it is not declared. A relay
+	// paces the large pages that it sends by it.
+	LinkMbps float64
 
 	packed    packCache
+	pages     pagePacer
 	leaving   atomic.Bool
 	mu        sync.Mutex
 	conns     map[*serverConn]struct{} // guarded by mu
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -53,6 +53,17 @@
 func (c *serverConn) answerWatch(id uint64, r WatchRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Wait)
 	defer cancel()
+	w := c.watchObjects(ctx, r)
+	if c.pacePage(w.Packed) {
+		// The copy may have changed meanwhile.
+		w = c.watchObjects(ctx, r)
+	}
+	// The client learns of a failed write from the end of the connection.
+	_ = c.frames.write(response{Unit: id, Watched: &w})
+}
+
+// watchObjects returns the answer of this daemon's copy, packed if the follower accepts that.
+func (c *serverConn) watchObjects(ctx context.Context, r WatchRequest) WatchResponse {
 	var w WatchResponse
 	if c.server.Objects != nil && !c.server.leaving.Load() {
 		w = c.server.Objects.Watch(ctx, r)
@@ -60,8 +71,7 @@
 			c.server.packed.pack(r, &w)
 		}
 	}
-	// The client learns of a failed write from the end of the connection.
-	_ = c.frames.write(response{Unit: id, Watched: &w})
+	return w
 }
 
 // ErrNotCurrent is returned if the peer is no relay or has no current copy.
