Refuse pages that their followers would give up, and don't delay answers without a page

Found on reading the pacing again. Pages that would wait for more than 3 s are now refused at once, and the follower turns to another relay or the store. Answers without a page, for example that nothing has changed, waited behind pages; they no longer do.

--- a/internal/peer/pacing.go
+++ b/internal/peer/pacing.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 )
 
@@ -21,32 +23,46 @@
 	freeAt time.Duration // guarded by mu
 }
 
+// maxPageDelay bounds the wait of a page. A follower gives up a watch watchTimeoutMargin after
+// its wait; a page that comes later would be asked for again while it is still sent.
+const maxPageDelay = 3 * time.Second
+
 // reserve admits a page of size bytes on a link of linkMbps Mbit/s and returns how long to
-// wait before it is sent. Without a declared link, given as 0, pages are not delayed.
-func (p *pagePacer) reserve(now time.Duration, size int, linkMbps float64) time.Duration {
-	if linkMbps <= 0 {
-		return 0
+// wait before it is sent. It reports false, and admits nothing, if that is longer than
+// maxPageDelay. Without a declared link, given as 0, pages are not delayed.
+func (p *pagePacer) reserve(now time.Duration, size int, linkMbps float64) (delay time.Duration, ok bool) {
+	if size == 0 || linkMbps <= 0 {
+		return 0, true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	start := max(now, p.freeAt)
+	if start-now > maxPageDelay {
+		return 0, false
+	}
 	seconds := float64(size) * 8 / (linkMbps * 1e6 * pageLinkShare)
 	p.freeAt = start + time.Duration(seconds*float64(time.Second))
-	return start - now
+	return start - now, true
 }
 
-// pacePage waits until a packed page may be sent, or the connection ends, and reports whether
-// there was anything to wait for.
-func (c *serverConn) pacePage(page []byte) bool {
-	delay := c.server.pages.reserve(boottime.Now(), len(page), c.server.LinkMbps)
+// pacePage waits until the packed page of an answer may be sent, or the connection ends, and
+// reports whether there was anything to wait for. It reports false for ok if the page can't be
+// sent before the follower gives it up.
+func (c *serverConn) pacePage(page []byte) (waited, ok bool) {
+	delay, ok := c.server.pages.reserve(boottime.Now(), len(page), c.server.LinkMbps)
+	if !ok {
+		metrics.GetOrCreateCounter(`laburnumrack_relay_pages_total{result="refused"}`).Inc()
+		return false, false
+	}
 	if delay <= 0 {
-		return false
+		return false, true
 	}
+	metrics.GetOrCreateCounter(`laburnumrack_relay_pages_total{result="delayed"}`).Inc()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-c.done:
 	}
-	return true
+	return true, true
 }
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -54,7 +54,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Wait)
 	defer cancel()
 	w := c.watchObjects(ctx, r)
-	if c.pacePage(w.Packed) {
+	switch waited, ok := c.pacePage(w.Packed); {
+	case !ok:
+		// Without a current copy the follower turns to another relay or the store.
+		w = WatchResponse{}
+	case waited:
 		// The copy may have changed meanwhile.
 		w = c.watchObjects(ctx, r)
 	}
