--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -37,9 +37,6 @@
 	// long for a successor, which may first have to find out that the owner is silent.
 	ownerTimeout     = waitLimit + 40*time.Millisecond
 	successorTimeout = 250 * time.Millisecond
-	// routeTimeout limits how long a gateway tries owners. With two of them silent it is
-	// likely cut off itself, and its callers are served sooner by another one.
-	routeTimeout = ownerTimeout + successorTimeout
 	// forwardTimeout is how long a successor waits for the owner.
 	forwardTimeout = 100 * time.Millisecond
 	// nearTransferTimeout and farTransferTimeout limit a transfer within a region and between
@@ -285,7 +282,6 @@
 	// downSince is when the last of the daemons ahead of this one went down.
 	downSince := time.Duration(0)
 	var ahead []string
-	began := l.options.Now()
 	for i, name := range l.options.Network.QuotaOwners(l.options.Domain, tenant) {
 		if name == l.options.Self {
 			if !l.hasContact(downSince) {
@@ -299,7 +295,7 @@
 			downSince = max(downSince, since)
 			continue
 		}
-		if from == forwarded || from == fromGateway && l.options.Now()-began >= routeTimeout {
+		if from == forwarded {
 			return outcome{}
 		}
 		r := peer.QuotaRequest{
