End the calls in flight when a daemon shuts down

What users saw: in a rolling restart of 91 VMs, 39 processes were still there at the end of the grace period and were killed, although each had logged "stopped" 3.0 s after SIGTERM.

Cause: Stop waited without bound for the loops of the daemon. Feeds follow their relay by peer.Client.Watch, which waits 2.5 s (10 s for the list of VMs) and has no way to be interrupted. Besides, a daemon without sessions waited for half of the grace period, and a connection without a first message could hold the shutdown for 5 s.

Change: peer.Client.Close is final and interrupts a dial; the members close all their clients when the daemon stops. The loops have names; those that don't end within 150 ms are logged as loops_left and left behind. The log is written until they have ended. A daemon that has no session and no unit of another daemon goes on with the shutdown 2.2 s after SIGTERM, when the balancer sends no more callers. Connections without a first message end with the idle sessions.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -48,6 +48,9 @@
 const (
 	// startTimeout limits the wait for the first message.
 	startTimeout = 5 * time.Second
+	// leavingStartTimeout is the same for a daemon that shuts down. Callers send the first
+	// message with the connect.
+	leavingStartTimeout = 200 * time.Millisecond
 	// writeTimeout limits the write of an answer to a caller that doesn't read.
 	writeTimeout = 10 * time.Second
 	// configurationTimeout is how long a new session waits for the daemon's first
@@ -80,6 +83,8 @@
 
 	mu       sync.Mutex
 	sessions map[*sessionConn]struct{} // guarded by mu
+	// starting holds the connections whose first message has not been read.
+	starting map[Conn]struct{} // guarded by mu
 	wg       sync.WaitGroup
 
 	// leaving ends each session as soon as it has no open transaction; endingTransactions
@@ -104,6 +109,7 @@
 func (s *Server) Serve(l net.Listener) {
 	s.mu.Lock()
 	s.sessions = make(map[*sessionConn]struct{})
+	s.starting = make(map[Conn]struct{})
 	s.mu.Unlock()
 	acceptloop.Run(l, func(c net.Conn) { s.wg.Go(func() { s.serve(s.Wrap(c)) }) })
 }
@@ -133,10 +139,7 @@
 
 // start reads the first message and accepts or refuses the session.
 func (s *Server) start(c Conn) (*sessionConn, error) {
-	if err := c.SetReadDeadline(time.Now().Add(startTimeout)); err != nil {
-		return nil, err
-	}
-	database, key, err := c.ReadStart()
+	database, key, err := s.readStart(c)
 	if err != nil {
 		return nil, fmt.Errorf("read start message: %w", err)
 	}
@@ -161,6 +164,28 @@
 	return &sessionConn{conn: c, state: s.newSession(database, digest)}, nil
 }
 
+// readStart reads the first message. A connection without one ends soon after the server
+// begins to leave.
+func (s *Server) readStart(c Conn) (database, key string, err error) {
+	s.mu.Lock()
+	timeout := startTimeout
+	if s.leaving.Load() {
+		timeout = leavingStartTimeout
+	}
+	err = c.SetReadDeadline(time.Now().Add(timeout))
+	s.starting[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.starting, c)
+		s.mu.Unlock()
+	}()
+	if err != nil {
+		return "", "", err
+	}
+	return c.ReadStart()
+}
+
 // startMessages maps the reasons of refusals of a session to the messages for its caller.
 var startMessages = map[string]string{
 	reasonNoRoute: "no route to this database", reasonUnknownKey: "the key is unknown", reasonStale: "not run: " + reasonStale,
@@ -331,6 +356,12 @@
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 	s.wakeWaitingSessions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.starting {
+		// An error means that the connection is already closed.
+		_ = c.SetReadDeadline(time.Now().Add(leavingStartTimeout))
+	}
 }
 
 // EndTransactions aborts all open transactions.
--- a/internal/membership/introduction.go
+++ b/internal/membership/introduction.go
@@ -35,6 +35,9 @@
 func (m *Members) addContact(p peer.Identity) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
 	m.contacts = append(m.contacts, peer.NewClient(m.identity(), p.Name, p.Address, m))
 	if len(m.contacts) > maxContacts {
 		m.contacts = slices.Delete(m.contacts, 0, 1)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -58,6 +58,8 @@
 	tracker    *fleet.Tracker          // guarded by mu
 	registered map[string]registeredVM // guarded by mu
 	clients    map[string]*peer.Client // guarded by mu; by address
+	// closed is set when no call to another daemon may be made any more.
+	closed bool // guarded by mu
 	// contacts are the founder and the daemons that connected to this one before known was
 	// set, the newest last.
 	contacts []*peer.Client // guarded by mu
@@ -235,10 +237,24 @@
 	if !ok || c.Name() != vm.Name {
 		c = peer.NewClient(m.identity(), vm.Name, address, m)
 		m.clients[address] = c
+		if m.closed {
+			c.Close()
+		}
 	}
 	return c
 }
 
+// Close ends all calls to other daemons; later ones fail at once.
+func (m *Members) Close() {
+	m.mu.Lock()
+	m.closed = true
+	clients := append(slices.Collect(maps.Values(m.clients)), m.contacts...)
+	m.mu.Unlock()
+	for _, c := range clients {
+		c.Close()
+	}
+}
+
 // publishView makes the tracker's current view the one that requests use. m.mu must be
 // held unless m is still private to its constructor.
 func (m *Members) publishView() {
--- a/internal/membership/stale_registrations.go
+++ b/internal/membership/stale_registrations.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		for name, peerVM := range m.domainPeers() {
-			if ctx.Err() == nil && silence.observe(name, m.probe(name, peerVM.vm.Address), time.Since(started)) {
+			if ctx.Err() == nil && silence.observe(name, m.probe(ctx, name, peerVM.vm.Address), time.Since(started)) {
 				m.removeRegistration(ctx, objects, name, peerVM.version)
 			}
 		}
@@ -99,10 +99,12 @@
 	return out
 }
 
-// probe reports whether a VM answers on a new connection.
-func (m *Members) probe(name, address string) bool {
+// probe reports whether a VM answers on a new connection before ctx ends.
+func (m *Members) probe(ctx context.Context, name, address string) bool {
 	c := peer.NewClient(m.identity(), name, address, m)
 	defer c.Close()
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
 	return c.IsReachable()
 }
 
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -39,6 +39,8 @@
 	// strictRevocation, if not zero, is the time of strict revocation at daemons started
 	// from now on.
 	strictRevocation time.Duration
+	// grace is the grace period of shutdowns of daemons started from now on.
+	grace time.Duration
 	// capacity, if not zero, is the capacity in the settings of daemons started from now on.
 	capacity store.Capacity
 	// metricsListen is the metrics address of daemons started from now on; empty for
@@ -67,7 +69,7 @@
 // and waits until the daemons are ready and consider their lists of targets complete.
 func newTestCluster(t *testing.T, zones ...string) *testCluster {
 	t.Helper()
-	tc := &testCluster{t: t, tenantBounds: site.DefaultTenantBounds}
+	tc := &testCluster{t: t, tenantBounds: site.DefaultTenantBounds, grace: 4 * time.Second}
 	var err error
 	if tc.store, err = site.NewStore("127.0.0.1"); err != nil {
 		t.Fatal(err)
@@ -141,7 +143,7 @@
 	if tc.refusingStore != "" {
 		storeAddress = tc.refusingStore
 	}
-	bounds := map[string]any{"grace_s": 4, "drain_ms": testDrainTime.Milliseconds()}
+	bounds := map[string]any{"grace_s": tc.grace.Seconds(), "drain_ms": testDrainTime.Milliseconds()}
 	tc.tenantBounds.AddTo(bounds)
 	if tc.strictRevocation > 0 {
 		site.SetStrictRevocation(bounds, tc.strictRevocation)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -45,12 +44,17 @@
 	balancerRemovalTime = 2200 * time.Millisecond
 	// transactionShare is the part of the grace period during which transactions may end.
 	transactionShare = 0.5
-	// unitPollInterval is the time between checks whether the units of other daemons have
-	// ended.
-	unitPollInterval = 20 * time.Millisecond
+	// unusedPollInterval is the time between checks whether sessions and units of other
+	// daemons have ended.
+	unusedPollInterval = 20 * time.Millisecond
 	// exitMargin is the time left between the end of the shutdown and the end of the
 	// grace period.
 	exitMargin = 400 * time.Millisecond
+	// loopsTimeout is how long the daemon waits for its loops after the last session has
+	// ended. They hold nothing that outlives the process.
+	loopsTimeout = 150 * time.Millisecond
+	// logDrainTimeout is how long a reader of the log that has stopped delays the exit.
+	logDrainTimeout = 100 * time.Millisecond
 )
 
 // sessionBits is the number of low bits of a session ID that count the sessions of a
@@ -92,7 +96,7 @@
 
 	ctx            context.Context
 	cancel         context.CancelFunc
-	loops          sync.WaitGroup
+	loops          loops
 	callerListener net.Listener
 	probeServer    *http.Server
 	probeListener  net.Listener
@@ -170,10 +174,7 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
-	n.loops.Go(func() {
-		// An error of the log's writer can't be logged itself, so it is ignored.
-		_ = n.log.Run(n.ctx, n.options.Out)
-	})
+	defer n.writeLog()()
 	app := kratos.New(
 		kratos.Name(buildinfo.Name), kratos.Version(buildinfo.Version()), kratos.Server(n),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT), kratos.StopTimeout(n.settings.Grace),
@@ -181,6 +182,25 @@
 	return app.Run()
 }
 
+// writeLog writes the log in the background until the returned function is called. The log
+// ends after the loops that write to it.
+func (n *Node) writeLog() (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		// An error of the log's writer can't be logged itself, so it is ignored.
+		_ = n.log.Run(ctx, n.options.Out)
+	}()
+	return func() {
+		cancel()
+		select {
+		case <-written:
+		case <-time.After(logDrainTimeout):
+		}
+	}
+}
+
 // listen opens all listeners.
 func (n *Node) listen() error {
 	var err error
@@ -205,20 +225,20 @@
 // Start starts the feeds and servers in the background and serves callers until Stop.
 func (n *Node) Start(context.Context) error {
 	n.log.StateChange("started", "version", buildinfo.Version(), "failure_domain", n.settings.FailureDomain, "callers", n.settings.CallerAddress.String())
-	n.loops.Go(n.follow)
-	n.loops.Go(func() { n.registry.Run(n.ctx) })
-	n.loops.Go(n.servePromotionLock)
-	n.loops.Go(func() { n.members.Run(n.ctx) })
-	n.loops.Go(func() { n.members.Introduce(n.ctx, n.peerServer.ConnectedPeers) })
-	n.loops.Go(func() { n.members.KeepRegistered(n.ctx, n.store) })
-	n.loops.Go(func() { n.members.PruneRegistrations(n.ctx, n.store) })
-	n.loops.Go(func() { n.limiter.Run(n.ctx) })
-	n.loops.Go(func() { n.peerServer.Serve(n.peerListener) })
-	n.loops.Go(n.reloadOnSignal)
+	n.loops.start("follow", n.follow)
+	n.loops.start("registry", func() { n.registry.Run(n.ctx) })
+	n.loops.start("promotion_lock", n.servePromotionLock)
+	n.loops.start("members", func() { n.members.Run(n.ctx) })
+	n.loops.start("introduction", func() { n.members.Introduce(n.ctx, n.peerServer.ConnectedPeers) })
+	n.loops.start("registration", func() { n.members.KeepRegistered(n.ctx, n.store) })
+	n.loops.start("stale_registrations", func() { n.members.PruneRegistrations(n.ctx, n.store) })
+	n.loops.start("rate_limits", func() { n.limiter.Run(n.ctx) })
+	n.loops.start("peer_server", func() { n.peerServer.Serve(n.peerListener) })
+	n.loops.start("reload", n.reloadOnSignal)
 	n.probeServer = &http.Server{Handler: platform.ReadyHandler(n.Ready), ReadHeaderTimeout: time.Second}
-	n.loops.Go(func() { n.serveHTTP(n.probeServer, n.probeListener) })
+	n.loops.start("probes", func() { n.serveHTTP(n.probeServer, n.probeListener) })
 	if n.metricsListener != nil {
-		n.loops.Go(n.serveMetrics)
+		n.loops.start("metrics", n.serveMetrics)
 	}
 	n.frontend.Serve(n.callerListener)
 	return nil
@@ -234,10 +254,10 @@
 		}
 	}
 	vms := n.vmFeed()
-	n.loops.Go(func() { vms.run(n.ctx) })
+	n.loops.start("feed_"+string(vms.kind), func() { vms.run(n.ctx) })
 	n.waitForSource()
 	for _, f := range []*feed{n.configurationFeed(), n.targetFeed()} {
-		n.loops.Go(func() { f.run(n.ctx) })
+		n.loops.start("feed_"+string(f.kind), func() { f.run(n.ctx) })
 	}
 }
 
@@ -342,18 +362,35 @@
 	defer cancel()
 	ctxtime.Sleep(deadline, balancerRemovalTime)
 	n.frontend.Leave()
-	transactionsEnd := started.Add(time.Duration(transactionShare * float64(n.settings.Grace)))
-	ctxtime.Sleep(deadline, time.Until(transactionsEnd))
+	transactionsEnd, cancelTransactions := context.WithDeadline(deadline, started.Add(time.Duration(transactionShare*float64(n.settings.Grace))))
+	defer cancelTransactions()
+	for !n.unused() && transactionsEnd.Err() == nil {
+		ctxtime.Sleep(transactionsEnd, unusedPollInterval)
+	}
 	n.frontend.EndTransactions()
 	err := n.callerListener.Close()
 	err = errors.Join(err, n.frontend.Wait(deadline))
 	for n.peerServer.OpenUnits() > 0 && deadline.Err() == nil {
-		ctxtime.Sleep(deadline, unitPollInterval)
+		ctxtime.Sleep(deadline, unusedPollInterval)
 	}
 	err = errors.Join(err, n.peerListener.Close())
 	n.log.StateChange("stopped", "took_ms", time.Since(started).Milliseconds(), "sessions_left", n.frontend.Sessions())
 	err = errors.Join(err, n.probeServer.Close())
-	n.cancel()
-	n.loops.Wait()
+	n.endLoops()
 	return err
 }
+
+// unused reports whether the daemon has no session and no unit of another daemon.
+func (n *Node) unused() bool {
+	return n.frontend.Sessions() == 0 && n.peerServer.OpenUnits() == 0
+}
+
+// endLoops ends the loops, whatever calls they have in flight.
+func (n *Node) endLoops() {
+	n.cancel()
+	n.members.Close()
+	n.peerServer.Abort()
+	if left := n.loops.wait(loopsTimeout); len(left) > 0 {
+		n.log.StateChange("loops_left", "names", left)
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -39,6 +40,10 @@
 	// delay the answers to other calls. It is nil in itself.
 	watches *Client
 
+	// closed ends when the client is closed; it interrupts a dial.
+	closed context.Context
+	close  context.CancelFunc
+
 	mu           sync.Mutex
 	conn         *clientConn // guarded by mu
 	dialErr      error       // guarded by mu; of the last dial
@@ -48,9 +53,16 @@
 // NewClient returns a client of the daemon name at address, given as host:port. self is
 // this daemon. No connection is made before the first call.
 func NewClient(self Identity, name, address string, o Observer) *Client {
+	c := newClient(self, name, address, o)
 	// A connection for watches does not introduce this daemon a second time.
-	watches := &Client{self: Identity{Name: self.Name}, name: name, address: address, observer: o}
-	return &Client{self: self, name: name, address: address, observer: o, watches: watches}
+	c.watches = newClient(Identity{Name: self.Name}, name, address, o)
+	return c
+}
+
+func newClient(self Identity, name, address string, o Observer) *Client {
+	c := &Client{self: self, name: name, address: address, observer: o}
+	c.closed, c.close = context.WithCancel(context.Background())
+	return c
 }
 
 // Name returns the name of the peer.
@@ -58,8 +70,12 @@
 	return c.name
 }
 
-// errLost is returned if a connection is lost during pending calls.
-var errLost = errors.New("peer connection was lost")
+var (
+	// errLost is returned if a connection is lost during pending calls.
+	errLost = errors.New("peer connection was lost")
+	// errClosed is returned by calls of a closed client.
+	errClosed = errors.New("peer client is closed")
+)
 
 // clientConn is one connection to a peer.
 type clientConn struct {
@@ -81,6 +97,9 @@
 func (c *Client) connect() (*clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed.Err() != nil {
+		return nil, errClosed
+	}
 	if c.conn != nil && !c.conn.isLost() {
 		return c.conn, nil
 	}
@@ -89,6 +108,12 @@
 	}
 	conn, err := c.dial()
 	c.dialErr, c.dialFailedAt = err, time.Now()
+	if c.closed.Err() != nil {
+		if conn != nil {
+			_ = conn.frames.conn.Close()
+		}
+		return nil, errClosed
+	}
 	if err != nil {
 		c.observer.PeerUnreachable(c.name, err)
 		return nil, err
@@ -101,10 +126,13 @@
 }
 
 func (c *Client) dial() (*clientConn, error) {
-	tcp, err := net.DialTimeout("tcp4", c.address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	tcp, err := dialer.DialContext(c.closed, "tcp4", c.address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", c.name, err)
 	}
+	stop := context.AfterFunc(c.closed, func() { _ = tcp.Close() })
+	defer stop()
 	w := newFrameConn(tcp)
 	h, err := c.handshake(w)
 	if err != nil {
@@ -139,11 +167,13 @@
 	return err
 }
 
-// Close closes the connection, if any. Pending calls are lost.
+// Close closes the connection, if any, for good. Pending calls are lost and a dial is
+// interrupted; later calls fail at once.
 func (c *Client) Close() {
 	if c.watches != nil {
 		c.watches.Close()
 	}
+	c.close()
 	c.mu.Lock()
 	conn := c.conn
 	c.conn = nil
