--- a/internal/e2e/restore_test.go
+++ b/internal/e2e/restore_test.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/laburnumrack/laburnumrack/internal/standin/site"
 )
 
 var (
@@ -161,15 +159,15 @@
 		}
 		<-done
 	})
-	s.checkReturned()
+	s.checkReturned("test")
 }
 
-// checkReturned checks that every daemon serves writes to a database of the newest
+// checkReturned checks that every daemon serves writes with a key to a database of the newest
 // configuration within returnLimit.
-func (s *soak) checkReturned() {
+func (s *soak) checkReturned(key string) {
 	end := time.Now().Add(returnLimit)
 	for _, v := range s.vms {
-		for !servesWrite(v) {
+		for !servesWrite(v, key) {
 			if time.Now().After(end) {
 				s.t.Errorf("%s serves no writes %s after the last fault", v.name, returnLimit)
 				break
@@ -178,13 +176,3 @@
 		}
 	}
 }
-
-// servesWrite reports whether a daemon serves a write to the database that was added last.
-func servesWrite(v *vm) bool {
-	c, err := site.Connect(v.callerAddress, "added")
-	if err != nil {
-		return false
-	}
-	defer c.Close()
-	return c.Refused == "" && c.Query("WRITE returned "+v.name).OK()
-}
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -23,6 +23,8 @@
 const (
 	soakDuration = 12 * time.Second
 	soakCallers  = 6
+	// soakGrace is the grace period of the daemons' shutdowns.
+	soakGrace = 2 * time.Second
 	// meanFaultInterval is the mean pause between two faults.
 	meanFaultInterval = 700 * time.Millisecond
 )
@@ -59,7 +61,9 @@
 	settings      map[string]any
 	settingsPath  string
 	callerAddress string
-	process       *exec.Cmd
+	// binary is the executable that start runs.
+	binary  string
+	process *exec.Cmd
 	// log receives the output of the daemon; nil discards it.
 	log *os.File
 }
@@ -83,12 +87,17 @@
 	logs string
 	// tenants are the tenants of the first configuration; nil for none.
 	tenants []site.Tenant
+	// binary is the executable of the daemons; empty for the one of this source.
+	binary string
 }
 
 // newSoak starts the stand-ins and six daemons in three zones.
 func newSoak(t *testing.T, o soakOptions) *soak {
 	t.Helper()
 	s := &soak{t: t, soakOptions: o}
+	if s.binary == "" {
+		s.binary = binary
+	}
 	var err error
 	check := func() {
 		if err != nil {
@@ -141,8 +150,8 @@
 	first := firstSoakPort + portsPerVM*len(s.vms)
 	ports := []int{first, first + 1, first + 2}
 	regions := map[string]string{"north": "home", "south": "home", "west": "away"}
-	v := &vm{name: name, settingsPath: filepath.Join(s.t.TempDir(), name+".json"), callerAddress: s.ip + ":" + strconv.Itoa(ports[0])}
-	bounds := map[string]any{"grace_s": 2}
+	v := &vm{name: name, binary: s.binary, settingsPath: filepath.Join(s.t.TempDir(), name+".json"), callerAddress: s.ip + ":" + strconv.Itoa(ports[0])}
+	bounds := map[string]any{"grace_s": soakGrace.Seconds()}
 	soakTenantBounds.AddTo(bounds)
 	v.settings = map[string]any{
 		"node_name": name, "ip": s.ip, "zone": zone, "region": regions[zone], "zones": regions,
@@ -184,7 +193,7 @@
 
 // start starts the process of a daemon.
 func (s *soak) start(v *vm) {
-	v.process = exec.Command(binary, "node", "--settings-file", v.settingsPath)
+	v.process = exec.Command(v.binary, "node", "--settings-file", v.settingsPath)
 	v.process.Stdout, v.process.Stderr = v.log, v.log
 	if err := v.process.Start(); err != nil {
 		s.t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	n.limiter = ratelimit.New(ratelimit.Options{
 		Self: settings.Name, Domain: settings.FailureDomain, Regions: settings.Regions, Slack: settings.QuotaSlack, Network: n.members, Now: boottime.Now, Log: n.log,
 	})
-	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected, LinkMbps: settings.Capacity.Link}
+	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected, Log: n.log, LinkMbps: settings.Capacity.Link}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
 		Quota: n.limiter, Tenants: requestmetrics.NewTenants(metrics.GetDefaultSet()),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -73,6 +73,9 @@
 var (
 	// errLost is returned if a connection is lost during pending calls.
 	errLost = errors.New("peer connection was lost")
+	// errUnknown is returned if the peer does not know the request, or answers it in a way
+	// that this release does not know.
+	errUnknown = errors.New("peer of another release does not know the request")
 	// errClosed is returned by calls of a closed client.
 	errClosed = errors.New("peer client is closed")
 )
@@ -194,9 +197,12 @@
 		if r.Leaving {
 			c.client.observer.PeerLeaving(c.client.name)
 		}
-		if r.Reply == nil && r.Watched == nil && r.Intents == nil && r.Position == nil && r.Quota == nil {
+		if r.Unit == 0 {
 			continue
 		}
+		if !r.isAnswer() {
+			unknownFrames("response").Inc()
+		}
 		c.mu.Lock()
 		answer := c.calls[r.Unit]
 		delete(c.calls, r.Unit)
@@ -293,8 +299,11 @@
 	defer timer.Stop()
 	select {
 	case answer, ok := <-done:
-		if !ok {
+		switch {
+		case !ok:
 			return response{}, true, errLost
+		case !answer.isAnswer():
+			return response{}, true, errUnknown
 		}
 		return answer, true, nil
 	case <-timer.C:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -12,13 +12,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 )
 
-// Version is the protocol version. Daemons of another version are refused.
+// Version is the protocol version. Daemons of another version are refused, so it stays as
+// long as releases run side by side: docs/design/versions.md says how messages change.
 const Version = 1
 
 // hello is the first frame in each direction.
@@ -68,6 +70,20 @@
 	Position *PositionResponse `cbor:"6,keyasint,omitempty"`
 	// Quota answers a request with Quota.
 	Quota *QuotaResponse `cbor:"16,keyasint,omitempty"`
+	// Unknown is true if the server has no answer to the request, which is of a kind that a
+	// later release has added. Nothing was done.
+	Unknown bool `cbor:"17,keyasint,omitempty"`
+}
+
+// isAnswer reports whether the response answers a request in a way that this release knows.
+func (r *response) isAnswer() bool {
+	return r.Reply != nil || r.Watched != nil || r.Intents != nil || r.Position != nil || r.Quota != nil
+}
+
+// unknownFrames counts the frames of a direction, "request" or "response", of which this
+// release knows no content.
+func unknownFrames(direction string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`laburnumrack_peer_unknown_total{frame="` + direction + `"}`)
 }
 
 // Timeouts and buffer size of a connection.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/laburnumrack/laburnumrack/internal/acceptloop"
+	"github.com/laburnumrack/laburnumrack/internal/eventlog"
 	"github.com/laburnumrack/laburnumrack/internal/stmtunit"
 )
 
@@ -27,6 +28,8 @@
 	Positions PositionSource
 	// Quotas answers requests for operations and tokens of tenants; it may be nil.
 	Quotas QuotaSource
+	// Log receives the requests of other releases that are not known here; it may be nil.
+	Log *eventlog.Log
 	// LinkMbps is the bandwidth of this VM's link in Mbit/s, 0 if it is not declared. A relay
 	// paces the large pages that it sends by it.
 	LinkMbps float64
@@ -45,6 +48,9 @@
 	frames *frameConn
 	// peer is the name of the connected daemon.
 	peer string
+	// unknownLogged is set once a request of this connection was not known. Only the reading
+	// goroutine uses it.
+	unknownLogged bool
 
 	mu    sync.Mutex
 	units map[uint64]*servedUnit // guarded by mu
@@ -197,9 +203,23 @@
 			return
 		}
 		go c.runCall(u, r)
+	default:
+		c.refuseUnknown(r.Unit)
 	}
 }
 
+// refuseUnknown answers a request of a kind that this release does not know. The first one
+// of a connection is logged.
+func (c *serverConn) refuseUnknown(id uint64) {
+	unknownFrames("request").Inc()
+	if c.server.Log != nil && !c.unknownLogged {
+		c.unknownLogged = true
+		c.server.Log.StateChange("peer_request_unknown", "peer", c.peer)
+	}
+	// The client learns of a failed write from the end of the connection.
+	go func() { _ = c.frames.write(response{Unit: id, Unknown: true}) }()
+}
+
 // findOrOpenUnit returns the unit of a call, and opens it if this is its first call. It
 // returns false if the unit is unknown or new units are refused.
 func (c *serverConn) findOrOpenUnit(r request) (*servedUnit, bool) {
