Let the relays of a region follow one of them in place of the store

Each of the six relays made the reads and watches for itself.

The relays of a region now follow the one with the largest link, the head relay, for targets, VMs and intents. A copy counts as current no longer than the head relay's (watches with Confirmations), the age of intents adds up, and a relay whose head relay fails turns to the store at once, without a wait. The configuration is still watched at the store.

--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -212,6 +212,28 @@
 	})
 }
 
+// Guards against relays of a region that follow different head relays, or each other.
+func TestHeadRelay(t *testing.T) {
+	Convey("The head relay of a region is the first relay with the largest link, for all daemons", t, func() {
+		vms := []VM{
+			{Name: "a1", FailureDomain: "a", Reachable: true, Capacity: store.Capacity{Link: 200}},
+			{Name: "a2", FailureDomain: "a", Reachable: true, Capacity: store.Capacity{Link: 10}},
+			{Name: "b1", FailureDomain: "b", Reachable: true, Capacity: store.Capacity{Link: 200}},
+			{Name: "c1", FailureDomain: "c", Reachable: true, Capacity: store.Capacity{Link: 50}},
+			{Name: "d1", FailureDomain: "d", Reachable: true, Capacity: store.Capacity{Link: 900}},
+		}
+		head := func(vms []VM, domains ...string) string {
+			vm, _ := NewView(vms[0], vms).HeadRelay(domains)
+			return vm.Name
+		}
+		So(head(vms, "a", "b", "c"), ShouldEqual, "a1")
+		So(head(vms, "c", "b", "a"), ShouldEqual, "a1")
+		vms[0].Reachable = false
+		So(head(vms, "a", "b", "c"), ShouldEqual, "b1")
+		So(head(vms, "e"), ShouldBeEmpty)
+	})
+}
+
 // Guards against daemons that choose different homes, relays or quota owners because they got
 // the registrations in another order, or rank themselves by another capacity than the others.
 func TestDaemonsAgreeOnRoles(t *testing.T) {
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -36,6 +36,24 @@
 	return v.topRanked(failureDomain, relayKey, RelayCount, rankByLink)
 }
 
+// HeadRelay returns the VM that the relays of some failure domains, which are near each other,
+// follow in place of the store: that one of their first relays with the largest link. It
+// returns false if none has a usable VM. All daemons choose the same, whatever the order of
+// the domains.
+func (v *View) HeadRelay(failureDomains []string) (VM, bool) {
+	var best VM
+	for _, domain := range failureDomains {
+		relays := v.Relays(domain)
+		if len(relays) == 0 {
+			continue
+		}
+		if r := relays[0]; best.Name == "" || r.Capacity.Link > best.Capacity.Link || r.Capacity.Link == best.Capacity.Link && r.Name < best.Name {
+			best = r
+		}
+	}
+	return best, best.Name != ""
+}
+
 // quotaKey returns the key by which the quota owners of a tenant are ranked. It ends with a
 // colon. The keys of groups end with a dot, because their database is empty, and the key of
 // relays with a letter, so that no names make them equal.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -47,7 +47,9 @@
 	log   *eventlog.Log
 	// regions maps each failure domain to its region.
 	regions map[string]string
-	view    atomic.Pointer[fleet.View]
+	// regionDomains are the failure domains of this daemon's region.
+	regionDomains []string
+	view          atomic.Pointer[fleet.View]
 	// known is set by the first list of registrations.
 	known atomic.Bool
 	// joinUntil is when the founder ceases to act as relay, in nanoseconds since boot; 0 if
@@ -94,6 +96,11 @@
 		self: self, regions: regions, local: local, log: log, tracker: fleet.NewTracker(self, nil),
 		registered: map[string]registeredVM{}, clients: map[string]*peer.Client{}, outdatedUntil: map[string]time.Time{}, removed: make(chan struct{}, 1),
 	}
+	for domain, region := range regions {
+		if region == regions[self.FailureDomain] {
+			m.regionDomains = append(m.regionDomains, domain)
+		}
+	}
 	m.publishView()
 	return m
 }
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -41,6 +41,27 @@
 	return relays[0], true
 }
 
+// HeadRelay returns, if this daemon is the relay of its failure domain, the client of the VM
+// that the relays of its region follow in place of the store. It is nil if this daemon is no
+// relay or is that VM itself, if there is none, or if that VM had no current copy lately.
+func (m *Members) HeadRelay() *peer.Client {
+	if !m.Known() || m.joining() || m.Relay() != nil {
+		return nil
+	}
+	head, ok := m.view.Load().HeadRelay(m.regionDomains)
+	if !ok || head.Name == m.self.Name || m.isOutdated(head.Name) {
+		return nil
+	}
+	return m.client(head)
+}
+
+// isOutdated reports whether a relay counts as without a current copy.
+func (m *Members) isOutdated(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.outdatedUntil[name])
+}
+
 // AlternativeRelay returns the client of a relay other than this daemon, of this failure
 // domain if possible; nil if none is known.
 func (m *Members) AlternativeRelay() *peer.Client {
--- a/internal/node/configuration_feed_test.go
+++ b/internal/node/configuration_feed_test.go
@@ -188,7 +188,7 @@
 		check := func(f *feed, delivered *[]store.Object) {
 			ended, cancel := context.WithCancel(context.Background())
 			cancel()
-			for _, o := range append(*delivered, f.mirror.watch(ended, store.Point{}).Page.Objects...) {
+			for _, o := range append(*delivered, f.mirror.watch(ended, store.Point{}, false).Page.Objects...) {
 				So(string(o.Value), ShouldNotContainSubstring, key)
 				c, err := platform.DecodeConfiguration(o)
 				So(err, ShouldBeNil)
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -55,6 +55,10 @@
 	// otherDomainWait is how long a watch at a relay of another failure domain waits for a
 	// change after a failed call to the store. Meanwhile the store is not called.
 	otherDomainWait = 500 * time.Millisecond
+	// headWait is how long a watch of a relay at the head relay waits, so that the relay turns
+	// to the store soon after it has found, by the promotion intents, that the head relay has
+	// lost it.
+	headWait = 700 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -76,6 +80,9 @@
 	// AlternativeRelay returns the client of a relay other than this daemon, nil if none
 	// is known.
 	AlternativeRelay() *peer.Client
+	// HeadRelay returns the client of the daemon that this one, as the relay of its failure
+	// domain, follows in place of the store; nil if this daemon calls the store itself.
+	HeadRelay() *peer.Client
 	// NearestOtherRelay returns the client of a relay of another failure domain, nil if
 	// none is known.
 	NearestOtherRelay() *peer.Client
@@ -118,6 +125,9 @@
 	// relay of its own nor the store answers. otherAnswered reports whether the last such
 	// call got an answer.
 	acrossDomains, otherAnswered bool
+	// followsHead makes the feed of a relay that has a copy follow the head relay of the
+	// region. followedHead is whether the last call went there.
+	followsHead, followedHead bool
 	// answeredAt is when the last answer came, since boot.
 	answeredAt time.Duration
 }
@@ -164,17 +174,21 @@
 // copy. It returns the point to continue from.
 func (f *feed) poll(ctx context.Context, from store.Point) (store.Point, error) {
 	relay := f.relay()
-	f.logSourceChange(relay)
 	if relay == nil {
+		if next, ok := f.pollHead(ctx, from); ok {
+			return next, nil
+		}
+		f.logSourceChange(nil)
 		return f.pollBeyondRelay(ctx, from, f.pollAsRelay)
 	}
+	f.logSourceChange(relay)
 	joiningFor := f.relays.JoiningFor()
 	wait := f.wait
 	if joiningFor > 0 {
 		// All daemons turn from the founder to the relay at the same time.
 		wait = min(wait, joiningFor)
 	}
-	next, err := f.pollRelay(ctx, relay, from, wait)
+	next, err := f.pollRelay(ctx, relay, f.watchRequest(from, wait))
 	if err == nil {
 		f.fallbackPause, f.nextFallback, f.firstListAt = 0, 0, 0
 		return next, nil
@@ -186,6 +200,25 @@
 	return f.pollBeyondRelay(ctx, from, f.pollAsFollower)
 }
 
+// pollHead makes one watch call to the head relay, if this feed of a relay follows one, and
+// reports whether it got an answer. Without a copy it does not: the pages of a head relay that
+// serves its own failure domain may be late.
+func (f *feed) pollHead(ctx context.Context, from store.Point) (store.Point, bool) {
+	if !f.followsHead || from.Revision == 0 {
+		return from, false
+	}
+	head := f.relays.HeadRelay()
+	if head == nil {
+		return from, false
+	}
+	f.logSourceChange(head)
+	f.followedHead = true
+	request := f.watchRequest(from, headWait)
+	request.Confirmations = true
+	next, err := f.pollRelay(ctx, head, request)
+	return next, err == nil
+}
+
 // pollInsteadOfStore is for a follower that leaves the store to its relay for now, or for a
 // pause if that is positive. It asks a relay of another failure domain if that one answered
 // the last time, and otherwise fails with the error of the relay.
@@ -222,10 +255,12 @@
 // known soon: the store may refuse this VM and serve others.
 func (f *feed) pollAsRelay(ctx context.Context, from store.Point) (store.Point, error) {
 	wait := f.wait
-	if !f.mirror.isCurrent() {
-		// Until the first answer, the followers of a new relay call the store themselves.
+	if f.followedHead || !f.mirror.isCurrent() {
+		// Until the first answer, the followers of a new relay call the store themselves. The
+		// copy of one that followed another relay may cease to be current at any time.
 		wait = 0
 	}
+	f.followedHead = false
 	next, err := f.pollStore(ctx, from, wait)
 	if err != nil && (from.Revision == 0 || f.acrossDomains && isUnanswered(err)) {
 		if next, ok := f.pollAlternative(ctx, from); ok {
@@ -259,7 +294,7 @@
 	if relay == nil {
 		return from, false
 	}
-	next, err := f.pollRelay(ctx, relay, from, 0)
+	next, err := f.pollRelay(ctx, relay, f.watchRequest(from, 0))
 	return next, err == nil
 }
 
@@ -274,7 +309,7 @@
 	if relay == nil {
 		return from, false
 	}
-	next, err := f.pollRelay(ctx, relay, from, wait)
+	next, err := f.pollRelay(ctx, relay, f.watchRequest(from, wait))
 	f.otherAnswered = err == nil
 	return next, err == nil
 }
@@ -284,10 +319,16 @@
 	return !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrEraChanged)
 }
 
+// watchRequest returns the request for the changes after a point that waits up to wait.
+func (f *feed) watchRequest(from store.Point, wait time.Duration) peer.WatchRequest {
+	return peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait}
+}
+
 // pollRelay makes one watch call to a relay and returns the point to continue from.
-func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, from store.Point, wait time.Duration) (store.Point, error) {
+func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, request peer.WatchRequest) (store.Point, error) {
+	from := request.Point()
 	started := boottime.Now()
-	answer, err := relay.Watch(peer.WatchRequest{Kind: f.kind, From: from.Revision, Era: from.Era, Wait: wait})
+	answer, err := relay.Watch(request)
 	if err == nil && !continues(from, answer) {
 		err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
 	}
@@ -298,15 +339,20 @@
 		return from, err
 	}
 	f.redactPage(answer.Page)
+	// The relay got the request after started, so the true time is not before this one.
+	confirmed := started + answer.ConfirmedAfter
+	asOf := fromRelay
+	if request.Confirmations {
+		asOf = confirmed
+	}
 	// This daemon may become the relay; its copy must be complete then.
 	if answer.Complete {
-		f.mirror.replace(fromRelay, answer.Page)
+		f.mirror.replace(asOf, answer.Page)
 	} else {
-		f.mirror.change(fromRelay, answer.Page)
+		f.mirror.change(asOf, answer.Page)
 	}
 	f.deliver(ctx, from.Era, answer.Complete, answer.Page)
-	// The relay got the request after started, so the true time is not before this one.
-	f.confirm(started + answer.ConfirmedAfter)
+	f.confirm(confirmed)
 	return answer.Page.Point(), nil
 }
 
@@ -356,6 +402,7 @@
 	defer cancel()
 	page, err := f.objects.Watch(watch, f.kind, from, wait)
 	if err != nil {
+		f.mirror.setFailing()
 		return from, err
 	}
 	answered := boottime.Now()
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -80,7 +80,7 @@
 // vmFeed returns the feed of the registrations of VMs.
 func (n *Node) vmFeed() *feed {
 	return &feed{
-		kind: membership.KindVM, objects: n.store, relays: n.members, mirror: n.mirrors[membership.KindVM], wait: slowWatchWait, log: n.log,
+		kind: membership.KindVM, objects: n.store, relays: n.members, mirror: n.mirrors[membership.KindVM], wait: slowWatchWait, log: n.log, followsHead: true,
 		onReplace: n.members.Replace, onChange: n.members.Change,
 		onEra: func(era store.Era, _ time.Duration) { n.members.BeginEra(era) },
 	}
@@ -96,7 +96,7 @@
 		return t, err == nil
 	}
 	return &feed{
-		kind: platform.KindTargets, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log, onPoint: n.promotionLock.ObservePoint,
+		kind: platform.KindTargets, objects: n.store, relays: n.members, mirror: n.mirrors[platform.KindTargets], wait: watchWait, log: n.log, followsHead: true, onPoint: n.promotionLock.ObservePoint,
 		onEra: n.registry.BeginEra,
 		onReplace: func(objects []store.Object) {
 			var targets []catalog.Target
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -13,9 +13,9 @@
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 )
 
-// relayIntentReader reads the promotion intents from the relay, or from the store if this
-// daemon is the relay or the relay has no answer, or else from a relay of another failure
-// domain.
+// relayIntentReader reads the promotion intents from the relay or, if this daemon is the relay,
+// from the head relay of the region; from the store if there is none or it has no answer, or
+// else from a relay of another failure domain.
 type relayIntentReader struct {
 	relays        RelaySelector
 	direct        *primarylease.Checker
@@ -28,12 +28,28 @@
 	otherFailedAt atomic.Int64
 }
 
+// relayIntents answers requests for the promotion intents. A relay that follows another one
+// passes on what it reads there; any other daemon reads the store. It implements
+// peer.IntentSource.
+type relayIntents struct {
+	relays           RelaySelector
+	followed, direct *primarylease.Checker
+}
+
+// RecentRecord implements peer.IntentSource.
+func (i relayIntents) RecentRecord() (primarylease.Record, bool) {
+	if i.relays.HeadRelay() != nil {
+		return i.followed.RecentRecord()
+	}
+	return i.direct.RecentRecord()
+}
+
 // intentReadPause is the pause after a follower's failed read from the store while its
 // relay has no current answer either; the relay reads the store more often.
 const intentReadPause = time.Second
 
-// storeHeadStart is how long the store may take to answer before a relay of another failure
-// domain is asked too.
+// storeHeadStart is how long the head relay may take to answer before the store is asked too,
+// and the store before a relay of another failure domain is.
 const storeHeadStart = 150 * time.Millisecond
 
 // errNoSource means that neither a relay nor the store answered.
@@ -62,6 +78,9 @@
 			return primarylease.Record{}, errNoSource
 		}
 	}
+	if record, ok := r.readHead(); ok {
+		return record, nil
+	}
 	direct := make(chan *primarylease.Record, 1)
 	go func() {
 		defer close(direct)
@@ -90,6 +109,38 @@
 	return primarylease.Record{}, errNoSource
 }
 
+// readHead reads the intents from the head relay, if this daemon follows one, and reports
+// whether it answered within storeHeadStart. A head relay that has fallen silent must not
+// delay the leases of the whole region until its connection counts as lost.
+func (r *relayIntentReader) readHead() (primarylease.Record, bool) {
+	head := r.relays.HeadRelay()
+	if head == nil {
+		return primarylease.Record{}, false
+	}
+	answer := make(chan *primarylease.Record, 1)
+	go func() {
+		defer close(answer)
+		record, err := head.StoreIntents()
+		if err != nil {
+			// A head relay whose store is silent does not answer in time. The feeds of this
+			// daemon leave it too.
+			r.relays.RelayOutdated(head.Name())
+			return
+		}
+		answer <- &record
+	}()
+	timer := time.NewTimer(storeHeadStart)
+	defer timer.Stop()
+	select {
+	case record := <-answer:
+		if record != nil {
+			return *record, true
+		}
+	case <-timer.C:
+	}
+	return primarylease.Record{}, false
+}
+
 // readOtherDomain reads the intents from a relay of another failure domain, which the store
 // may serve although it refuses this VM. The age that the relay reports counts, as for any
 // relay. After a failure it returns errNoSource for intentReadPause.
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -26,6 +26,8 @@
 	baseRevision store.Revision // guarded by mu
 	currentAsOf  time.Duration  // guarded by mu; since boot, 0 before the first answer of the store
 	changed      chan struct{}  // guarded by mu; closed at the next change
+	// failing is whether the last call to the store failed.
+	failing bool // guarded by mu
 	// loading is whether the first listing is being read from the store.
 	loading bool // guarded by mu
 }
@@ -108,16 +110,16 @@
 }
 
 // advance records the time and revision of a page, and wakes the waiting followers if
-// the revision has grown or the copy has become current. m.mu must be held.
+// the revision has grown or the store has confirmed the copy anew. m.mu must be held.
 func (m *mirror) advance(asOf time.Duration, revision store.Revision) {
-	becomesCurrent := asOf != fromRelay && m.currentFor() <= 0
-	if asOf != fromRelay {
-		m.currentAsOf = asOf
+	confirmed := asOf > m.currentAsOf
+	if confirmed {
+		m.currentAsOf, m.failing = asOf, false
 	}
 	if revision > m.revision {
 		m.revision = revision
 		m.pruneTombstones()
-	} else if !becomesCurrent {
+	} else if !confirmed {
 		return
 	}
 	close(m.changed)
@@ -149,6 +151,19 @@
 	}
 }
 
+// setFailing records that a call to the store failed, and wakes the followers that then call
+// it themselves.
+func (m *mirror) setFailing() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
+		return
+	}
+	m.failing = true
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // currentFor returns how much longer the copy counts as current; it is not positive if it
 // does not. m.mu must be held.
 func (m *mirror) currentFor() time.Duration {
@@ -178,17 +193,18 @@
 const loadingCheckInterval = time.Second
 
 // watch answers a follower with the changes after from, or with all objects if the mirror
-// does not know all removals since then. It waits for a change until ctx ends or the copy
-// is no longer current; Current in the response reports whether the copy is current. A
+// does not know all removals since then. It waits for a change until ctx ends or the copy is no
+// longer current; with confirmations, which relays ask for, also for the next confirmation by
+// the store, and a copy counts as not current once a call to the store has failed; Current in the response reports whether the copy is current. A
 // copy that is not current at first may become so within takeoverGrace, or once the first
 // listing has been read.
-func (m *mirror) watch(ctx context.Context, from store.Point) peer.WatchResponse {
+func (m *mirror) watch(ctx context.Context, from store.Point, confirmations bool) peer.WatchResponse {
 	received := boottime.Now()
 	graceEnd := received + m.grace()
 	for {
 		m.mu.Lock()
 		remaining := m.currentFor()
-		current := remaining > 0 && from.Era <= m.era
+		current := remaining > 0 && from.Era <= m.era && !(confirmations && m.failing)
 		switch {
 		case !current && m.loading:
 			remaining = loadingCheckInterval
@@ -198,7 +214,8 @@
 			graceEnd = 0
 		}
 		changed := m.changed
-		if remaining <= 0 || current && m.isPast(from) || ctx.Err() != nil {
+		confirmed := confirmations && m.currentAsOf > received
+		if remaining <= 0 || current && (confirmed || m.isPast(from)) || ctx.Err() != nil {
 			r := m.changesSince(from)
 			r.Current, r.ConfirmedAfter = current, m.currentAsOf-received
 			m.mu.Unlock()
@@ -245,5 +262,5 @@
 	if !ok {
 		return peer.WatchResponse{}
 	}
-	return kindMirror.watch(ctx, r.Point())
+	return kindMirror.watch(ctx, r.Point(), r.Confirmations)
 }
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -35,16 +35,16 @@
 	cancel()
 	Convey("A follower gets what changed after its revision", t, func() {
 		m := newMirror(time.Second)
-		So(m.watch(ended, at(0)).Current, ShouldBeFalse)
+		So(m.watch(ended, at(0), false).Current, ShouldBeFalse)
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 10, Objects: []store.Object{testObject("a", 3), testObject("b", 9)}})
-		r := m.watch(ended, at(0))
+		r := m.watch(ended, at(0), false)
 		So(r.Current && r.Complete, ShouldBeTrue)
 		So(r.Page.Objects, ShouldHaveLength, 2)
-		So(m.watch(ended, at(10)).Page.Objects, ShouldBeEmpty)
+		So(m.watch(ended, at(10), false).Page.Objects, ShouldBeEmpty)
 		removed := testObject("a", 3)
 		removed.Deleted = true
 		m.change(boottime.Now(), store.Page{Era: testEra, Revision: 12, Objects: []store.Object{testObject("b", 12), removed}})
-		r = m.watch(ended, at(10))
+		r = m.watch(ended, at(10), false)
 		So(r.Complete, ShouldBeFalse)
 		So(r.Page.Objects, ShouldHaveLength, 2)
 		So(r.Page.Revision, ShouldEqual, store.Revision(12))
@@ -53,10 +53,10 @@
 		m := newMirror(time.Second)
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 10, Objects: []store.Object{testObject("a", 3), testObject("b", 9)}})
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 20, Objects: []store.Object{testObject("b", 9)}})
-		r := m.watch(ended, at(5))
+		r := m.watch(ended, at(5), false)
 		So(r.Complete, ShouldBeTrue)
 		So(r.Page.Objects, ShouldHaveLength, 1)
-		r = m.watch(ended, at(10))
+		r = m.watch(ended, at(10), false)
 		So(r.Page.Objects, ShouldHaveLength, 1)
 		So(r.Page.Objects[0].Deleted, ShouldBeTrue)
 	})
@@ -69,7 +69,7 @@
 			m.change(boottime.Now(), store.Page{Era: testEra, Revision: store.Revision(i + 2), Objects: []store.Object{removed}})
 		}
 		So(len(m.objects), ShouldBeLessThanOrEqualTo, maxTombstones+1)
-		r := m.watch(ended, at(5))
+		r := m.watch(ended, at(5), false)
 		So(r.Complete, ShouldBeTrue)
 		So(r.Page.Objects, ShouldHaveLength, 1)
 	})
@@ -78,7 +78,7 @@
 		m.maxAge = 10 * time.Millisecond
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 10})
 		time.Sleep(15 * time.Millisecond)
-		So(m.watch(ended, at(0)).Current, ShouldBeFalse)
+		So(m.watch(ended, at(0), false).Current, ShouldBeFalse)
 	})
 	// Guards against a follower that keeps waiting on a relay whose copy is no longer
 	// current: one that had started to wait just before that had a configuration in force
@@ -90,7 +90,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		started := time.Now()
-		So(m.watch(ctx, at(10)).Current, ShouldBeFalse)
+		So(m.watch(ctx, at(10), false).Current, ShouldBeFalse)
 		So(time.Since(started), ShouldBeBetween, 50*time.Millisecond, time.Second)
 	})
 	Convey("A follower waits for a change and is woken by it", t, func() {
@@ -101,7 +101,7 @@
 		time.AfterFunc(20*time.Millisecond, func() {
 			m.change(boottime.Now(), store.Page{Era: testEra, Revision: 11, Objects: []store.Object{testObject("a", 11)}})
 		})
-		So(m.watch(ctx, at(10)).Page.Objects, ShouldHaveLength, 1)
+		So(m.watch(ctx, at(10), false).Page.Objects, ShouldHaveLength, 1)
 	})
 }
 
@@ -184,7 +184,8 @@
 // fixedRelay is a RelaySelector that returns a fixed client.
 type fixedRelay struct{ client *peer.Client }
 
-func (f *fixedRelay) Relay() *peer.Client { return f.client }
+func (f *fixedRelay) HeadRelay() *peer.Client { return nil }
+func (f *fixedRelay) Relay() *peer.Client     { return f.client }
 
 func (f *fixedRelay) RelayOutdated(string) {}
 
@@ -228,13 +229,13 @@
 		So(from, ShouldResemble, at(50))
 		ended, cancel := context.WithCancel(context.Background())
 		cancel()
-		So(second.watch(ended, at(0)).Current, ShouldBeFalse)
+		So(second.watch(ended, at(0), false).Current, ShouldBeFalse)
 
 		relays.client.Close()
 		relays.client = nil
 		_, err = f.poll(context.Background(), from)
 		So(err, ShouldBeNil)
-		r := second.watch(ended, at(40))
+		r := second.watch(ended, at(40), false)
 		So(r.Current, ShouldBeTrue)
 		So(r.Page.Objects, ShouldHaveLength, 2)
 	})
@@ -287,13 +288,13 @@
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 100, Objects: []store.Object{testObject("a", 90), testObject("gone", 95)}})
 		m.replace(boottime.Now(), store.Page{Era: testEra + 1, Revision: 60, Objects: []store.Object{testObject("a", 50)}})
 		for _, from := range []store.Point{at(100), at(60), at(10)} {
-			r := m.watch(ended, from)
+			r := m.watch(ended, from, false)
 			So(r.Current && r.Complete, ShouldBeTrue)
 			So(r.Page.Point(), ShouldResemble, later(60))
 			So(r.Page.Objects, ShouldResemble, []store.Object{testObject("a", 50)})
 		}
 		m.change(boottime.Now(), store.Page{Era: testEra + 1, Revision: 61, Objects: []store.Object{testObject("b", 61)}})
-		r := m.watch(ended, later(60))
+		r := m.watch(ended, later(60), false)
 		So(r.Complete, ShouldBeFalse)
 		So(r.Page.Objects, ShouldResemble, []store.Object{testObject("b", 61)})
 	})
@@ -304,7 +305,7 @@
 		defer cancel()
 		time.AfterFunc(20*time.Millisecond, func() { m.replace(boottime.Now(), store.Page{Era: testEra + 1, Revision: 60}) })
 		started := time.Now()
-		So(m.watch(ctx, at(100)).Page.Point(), ShouldResemble, later(60))
+		So(m.watch(ctx, at(100), false).Page.Point(), ShouldResemble, later(60))
 		So(time.Since(started), ShouldBeLessThan, time.Second)
 	})
 	Convey("Pages of an earlier era change nothing, and changes without a listing of their era neither", t, func() {
@@ -313,14 +314,14 @@
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 100, Objects: []store.Object{testObject("a", 90)}})
 		m.change(boottime.Now(), store.Page{Era: testEra, Revision: 101, Objects: []store.Object{testObject("a", 101)}})
 		m.change(boottime.Now(), store.Page{Era: testEra + 2, Revision: 5, Objects: []store.Object{testObject("a", 5)}})
-		r := m.watch(ended, later(1))
+		r := m.watch(ended, later(1), false)
 		So(r.Page.Point(), ShouldResemble, later(60))
 		So(r.Page.Objects, ShouldBeEmpty)
 	})
 	Convey("A relay of an earlier era is not current for a follower that knows the later one", t, func() {
 		m := newMirror(time.Second)
 		m.replace(boottime.Now(), store.Page{Era: testEra, Revision: 100})
-		So(m.watch(ended, later(60)).Current, ShouldBeFalse)
+		So(m.watch(ended, later(60), false).Current, ShouldBeFalse)
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,8 +134,9 @@
 	locality := backend.Locality{FailureDomain: settings.FailureDomain, Regions: settings.Regions}
 	relayReader := &relayIntentReader{direct: primarylease.New(n.promotionLock), promotionLock: n.promotionLock}
 	peers := &peerPositions{}
+	lease := primarylease.New(relayReader)
 	n.registry = backend.NewRegistry(n.ctx, backend.Dependencies{
-		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: primarylease.New(relayReader), DrainTime: settings.DrainTime, Log: n.log,
+		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: lease, DrainTime: settings.DrainTime, Log: n.log,
 	})
 	local := executor.New(n.registry, n.log)
 	local.Configuration = &n.configuration
@@ -155,7 +156,7 @@
 	n.limiter = ratelimit.New(ratelimit.Options{
 		Self: settings.Name, Domain: settings.FailureDomain, Regions: settings.Regions, Slack: settings.QuotaSlack, Network: n.members, Now: boottime.Now, Log: n.log,
 	})
-	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected, Log: n.log, LinkMbps: settings.Capacity.Link}
+	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayIntents{relays: n.members, followed: lease, direct: relayReader.direct}, StoreIntents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected, Log: n.log, LinkMbps: settings.Capacity.Link}
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log,
 		Quota: n.limiter, Tenants: requestmetrics.NewTenants(metrics.GetDefaultSet()),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -87,6 +87,8 @@
 	lastID atomic.Uint64
 	// answersQuota is whether the peer answers requests with Quota.
 	answersQuota bool
+	// answersConfirmations is whether the peer answers watches with Confirmations.
+	answersConfirmations bool
 
 	mu    sync.Mutex
 	calls map[uint64]chan response // guarded by mu
@@ -141,7 +143,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("handshake with peer %s: %w", c.name, err), tcp.Close())
 	}
-	conn := &clientConn{client: c, frames: w, calls: make(map[uint64]chan response), wake: make(chan struct{}, 1), done: make(chan struct{}), answersQuota: h.Quota}
+	conn := &clientConn{client: c, frames: w, calls: make(map[uint64]chan response), wake: make(chan struct{}, 1), done: make(chan struct{}), answersQuota: h.Quota, answersConfirmations: h.Confirmations}
 	return conn, nil
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -34,6 +34,8 @@
 	Address string `cbor:"4,keyasint,omitempty"`
 	// Quota is true if the sender answers requests with Quota.
 	Quota bool `cbor:"16,keyasint,omitempty"`
+	// Confirmations is true if the sender answers watches with Confirmations.
+	Confirmations bool `cbor:"17,keyasint,omitempty"`
 }
 
 // request is a frame from the client to the server.
@@ -49,6 +51,9 @@
 	Watch *WatchRequest `cbor:"6,keyasint,omitempty"`
 	// Intents asks for the intents of promotions.
 	Intents bool `cbor:"7,keyasint,omitempty"`
+	// FromStore is set with Intents if they are to be read from the store, not from another
+	// daemon.
+	FromStore bool `cbor:"17,keyasint,omitempty"`
 	// PositionOf names the group for whose primary's log position the request asks.
 	PositionOf string `cbor:"8,keyasint,omitempty"`
 	// Quota asks for operations or tokens of a tenant. It is sent only to a daemon whose
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,8 @@
 	// relay.
 	Objects ObjectWatcher
 	Intents IntentSource
+	// StoreIntents answers the requests of other relays from the store; it may be nil.
+	StoreIntents IntentSource
 	// Positions answers requests for positions of primaries; it may be nil.
 	Positions PositionSource
 	// Quotas answers requests for operations and tokens of tenants; it may be nil.
@@ -146,7 +148,7 @@
 	if err := c.frames.read(&h); err != nil {
 		return err
 	}
-	if err := c.frames.write(hello{Version: Version, Name: c.server.Name, Quota: c.server.Quotas != nil}); err != nil {
+	if err := c.frames.write(hello{Version: Version, Name: c.server.Name, Quota: c.server.Quotas != nil, Confirmations: true}); err != nil {
 		return err
 	}
 	if h.Version != Version || h.To != c.server.Name {
@@ -187,7 +189,7 @@
 	case r.Watch != nil:
 		go c.answerWatch(r.Unit, *r.Watch)
 	case r.Intents:
-		go c.answerIntents(r.Unit)
+		go c.answerIntents(r.Unit, r.FromStore)
 	case r.PositionOf != "":
 		go c.answerPosition(r.Unit, r.PositionOf)
 	case r.Quota != nil:
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -24,6 +24,10 @@
 	Era store.Era `cbor:"4,keyasint,omitempty"`
 	// AcceptsPacked reports that the sender can read WatchResponse.Packed.
 	AcceptsPacked bool `cbor:"5,keyasint,omitempty"`
+	// Confirmations asks for an answer also when the store has confirmed the relay's copy
+	// since the request came, so that the sender's copy counts as current for as long as the
+	// relay's. It is sent only to a daemon whose hello has Confirmations set.
+	Confirmations bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Point returns the point in the store's history after which changes are asked for.
@@ -93,6 +97,9 @@
 	if err != nil {
 		return WatchResponse{}, err
 	}
+	if r.Confirmations && !conn.answersConfirmations {
+		return WatchResponse{}, fmt.Errorf("watch %s at peer %s of an earlier release: %w", r.Kind, c.name, ErrNotCurrent)
+	}
 	r.AcceptsPacked = true
 	answer, _, err := conn.roundTrip(request{Unit: conn.lastID.Add(1), Watch: &r}, r.Wait+watchTimeoutMargin)
 	if err != nil {
@@ -128,10 +135,14 @@
 	RecentRecord() (primarylease.Record, bool)
 }
 
-func (c *serverConn) answerIntents(id uint64) {
+func (c *serverConn) answerIntents(id uint64, fromStore bool) {
 	var answer IntentsResponse
-	if c.server.Intents != nil && !c.server.leaving.Load() {
-		if r, ok := c.server.Intents.RecentRecord(); ok {
+	source := c.server.Intents
+	if fromStore {
+		source = c.server.StoreIntents
+	}
+	if source != nil && !c.server.leaving.Load() {
+		if r, ok := source.RecentRecord(); ok {
 			answer = IntentsResponse{
 				Intents: r.Intents, Age: boottime.Now() - r.ReadStart, Current: true,
 				Version: r.Read.Revision, Era: r.Read.Era, WrittenIn: r.WrittenIn, Unsettled: r.Unsettled,
@@ -146,12 +157,24 @@
 // in the record is the start of this call minus the age that the relay reports, so the
 // record never counts as younger than the relay's read of the store.
 func (c *Client) Intents() (primarylease.Record, error) {
+	return c.intents(request{Intents: true})
+}
+
+// StoreIntents is Intents for a relay that follows the peer: the peer reads them from the
+// store, so that two relays that take each other for the one to follow don't wait for each
+// other.
+func (c *Client) StoreIntents() (primarylease.Record, error) {
+	return c.intents(request{Intents: true, FromStore: true})
+}
+
+func (c *Client) intents(r request) (primarylease.Record, error) {
 	start := boottime.Now()
 	conn, err := c.connect()
 	if err != nil {
 		return primarylease.Record{}, err
 	}
-	answer, _, err := conn.roundTrip(request{Unit: conn.lastID.Add(1), Intents: true}, intentsTimeout)
+	r.Unit = conn.lastID.Add(1)
+	answer, _, err := conn.roundTrip(r, intentsTimeout)
 	if err != nil {
 		return primarylease.Record{}, fmt.Errorf("get intents from peer %s: %w", c.name, err)
 	}
