Begin with the copy of a peer while the store is silent

Cause: a relay's copy counts as current for 3.2 s after the last answer of the store. After that no daemon gives one to a daemon that starts, although all of them serve by theirs. It got the list of VMs, was home for others by that, and refused their units until the store was back.

Change: a daemon without any copy waits 0.4 s for the store or a current relay and then takes the copy that a relay has. It is a listing of an earlier moment, and the next watch at the store continues from there. It is not passed on as current, and its age counts under strict revocation.

TestStartWithPeersCopy fails without the change for lack of a copy.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/ctxtime"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
@@ -55,6 +57,9 @@
 	// otherDomainWait is how long a watch at a relay of another failure domain waits for a
 	// change after a failed call to the store. Meanwhile the store is not called.
 	otherDomainWait = 500 * time.Millisecond
+	// firstCopyWait is how long a daemon without a copy waits for the store or a current
+	// relay before it begins with the copy of a peer that is not current.
+	firstCopyWait = 400 * time.Millisecond
 	// headWait is how long a watch of a relay at the head relay waits, so that the relay turns
 	// to the store soon after it has found, by the promotion intents, that the head relay has
 	// lost it.
@@ -128,6 +133,8 @@
 	// followsHead makes the feed of a relay that has a copy follow the head relay of the
 	// region. followedHead is whether the last call went there.
 	followsHead, followedHead bool
+	// emptySince is when the feed began to look for its first copy, since boot; 0 before.
+	emptySince time.Duration
 	// answeredAt is when the last answer came, since boot.
 	answeredAt time.Duration
 }
@@ -173,6 +180,9 @@
 // poll makes one call to the relay, or to the store if the relay fails or has no current
 // copy. It returns the point to continue from.
 func (f *feed) poll(ctx context.Context, from store.Point) (store.Point, error) {
+	if from.Revision == 0 && f.emptySince == 0 {
+		f.emptySince = boottime.Now()
+	}
 	relay := f.relay()
 	if relay == nil {
 		if next, ok := f.pollHead(ctx, from); ok {
@@ -326,9 +336,20 @@
 
 // pollRelay makes one watch call to a relay and returns the point to continue from.
 func (f *feed) pollRelay(ctx context.Context, relay *peer.Client, request peer.WatchRequest) (store.Point, error) {
-	from := request.Point()
 	started := boottime.Now()
 	answer, err := relay.Watch(request)
+	return f.apply(ctx, relay, request, started, answer, err)
+}
+
+// apply takes over the answer of a relay to a request that was sent after started, or its
+// error, and returns the point to continue from.
+func (f *feed) apply(ctx context.Context, relay *peer.Client, request peer.WatchRequest, started time.Duration, answer peer.WatchResponse, err error) (store.Point, error) {
+	from := request.Point()
+	if f.adopts(from, answer, err) {
+		f.log.StateChange("copy_adopted", "kind", f.kind, "peer", relay.Name(), "point", answer.Page.Point().String())
+		metrics.GetOrCreateCounter(`laburnumrack_copies_adopted_total`).Inc()
+		err = nil
+	}
 	if err == nil && !continues(from, answer) {
 		err = fmt.Errorf("%w: copy of era %s", peer.ErrNotCurrent, answer.Page.Era)
 	}
@@ -356,6 +377,14 @@
 	return answer.Page.Point(), nil
 }
 
+// adopts reports whether this daemon begins with the copy of a peer although that is not
+// current. During an outage of the store no copy is, and the peers serve by theirs. A copy that
+// is complete is a listing of an earlier moment: the next watch continues from there.
+func (f *feed) adopts(from store.Point, answer peer.WatchResponse, err error) bool {
+	return errors.Is(err, peer.ErrNotCurrent) && from.Revision == 0 && answer.Complete && answer.Page.Revision != 0 &&
+		continues(from, answer) && boottime.Now()-f.emptySince >= firstCopyWait
+}
+
 // redactPage redacts the objects of a page.
 func (f *feed) redactPage(page store.Page) {
 	if f.redact == nil {
@@ -388,9 +417,9 @@
 func (f *feed) pollStore(ctx context.Context, from store.Point, wait time.Duration) (store.Point, error) {
 	started := boottime.Now()
 	if from.Revision == 0 {
-		page, err := f.list(ctx)
-		if err != nil {
-			return from, err
+		page, adopted, err := f.listOrAdopt(ctx, from)
+		if err != nil || adopted.Revision != 0 {
+			return adopted, err
 		}
 		f.redactPage(page)
 		f.mirror.replace(started, page)
@@ -414,6 +443,64 @@
 	return page.Point(), nil
 }
 
+// listOrAdopt gets all objects from the store. If the store is silent for firstCopyWait and
+// a relay has a copy, it delivers that one and returns the point to continue from.
+func (f *feed) listOrAdopt(ctx context.Context, from store.Point) (listed store.Page, adopted store.Point, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		listed, err = f.list(ctx)
+	}()
+	timer := time.NewTimer(firstCopyWait)
+	defer timer.Stop()
+	var copies chan peerCopy
+	for {
+		select {
+		case <-answered:
+			return listed, from, err
+		case <-timer.C:
+			copies = f.askRelay(from)
+		case c := <-copies:
+			copies = nil
+			if next, applyErr := f.apply(ctx, c.relay, c.request, c.started, c.answer, c.err); applyErr == nil {
+				cancel()
+				<-answered
+				return store.Page{}, next, nil
+			}
+		}
+	}
+}
+
+// peerCopy is the answer of a relay to a request without a wait.
+type peerCopy struct {
+	relay   *peer.Client
+	request peer.WatchRequest
+	started time.Duration
+	answer  peer.WatchResponse
+	err     error
+}
+
+// askRelay asks the relay, or another one if this daemon is the relay, in the background. It
+// returns nil if none is known.
+func (f *feed) askRelay(from store.Point) chan peerCopy {
+	relay := f.relay()
+	if relay == nil && f.relays != nil {
+		relay = f.relays.AlternativeRelay()
+	}
+	if relay == nil {
+		return nil
+	}
+	copies := make(chan peerCopy, 1)
+	go func() {
+		c := peerCopy{relay: relay, request: f.watchRequest(from, 0), started: boottime.Now()}
+		c.answer, c.err = relay.Watch(c.request)
+		copies <- c
+	}()
+	return copies
+}
+
 // list gets all objects from the store.
 func (f *feed) list(ctx context.Context) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTransferTimeout)
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -91,7 +91,7 @@
 const watchTimeoutMargin = 5 * time.Second
 
 // Watch asks the peer, as a relay, for changed objects. The error wraps ErrNotCurrent if
-// the relay's copy is not current.
+// the relay's copy is not current; the response holds that copy then, if the peer has one.
 func (c *Client) Watch(r WatchRequest) (WatchResponse, error) {
 	conn, err := c.watches.connect()
 	if err != nil {
@@ -105,12 +105,15 @@
 	if err != nil {
 		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, err)
 	}
-	if answer.Watched == nil || !answer.Watched.Current {
+	if answer.Watched == nil {
 		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, ErrNotCurrent)
 	}
 	if err := answer.Watched.unpack(); err != nil {
 		return WatchResponse{}, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, err)
 	}
+	if !answer.Watched.Current {
+		return *answer.Watched, fmt.Errorf("watch %s at peer %s: %w", r.Kind, c.name, ErrNotCurrent)
+	}
 	return *answer.Watched, nil
 }
 
