Keep the own copy when the store has dropped its history

Found on reading the change that begins with a peer's copy: a daemon that has to list again (its watch got 410, or the store began a new era) looked like one without a copy, and would have gone back to an older list of a peer that is not current, so that a draining target counted as ready again. Only a daemon that never had a copy takes one that is not current; a case of TestStartWithPeersCopy fails without the change.

--- a/internal/node/adopted_copy_test.go
+++ b/internal/node/adopted_copy_test.go
@@ -78,4 +78,17 @@
 		So(next, ShouldResemble, at(60))
 		So(known, ShouldBeEmpty)
 	})
+	// Guards against a daemon that goes back to an earlier list of targets when the store has
+	// dropped its history.
+	Convey("Nor does one that has to list again", t, func() {
+		var known []store.Object
+		f := newFeed(&fixedRelay{startRelay(t, outdated())}, &known)
+		f.emptySince = boottime.Now() - time.Hour
+		f.mirror.replace(fromRelay, store.Page{Era: testEra, Revision: 60})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := f.poll(ctx, at(0))
+		So(err, ShouldNotBeNil)
+		So(known, ShouldBeEmpty)
+	})
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -379,10 +379,11 @@
 
 // adopts reports whether this daemon begins with the copy of a peer although that is not
 // current. During an outage of the store no copy is, and the peers serve by theirs. A copy that
-// is complete is a listing of an earlier moment: the next watch continues from there.
+// is complete is a listing of an earlier moment: the next watch continues from there. A daemon
+// that lists again, because the store has dropped its history, keeps its own copy.
 func (f *feed) adopts(from store.Point, answer peer.WatchResponse, err error) bool {
 	return errors.Is(err, peer.ErrNotCurrent) && from.Revision == 0 && answer.Complete && answer.Page.Revision != 0 &&
-		continues(from, answer) && boottime.Now()-f.emptySince >= firstCopyWait
+		f.mirror.isEmpty() && continues(from, answer) && boottime.Now()-f.emptySince >= firstCopyWait
 }
 
 // redactPage redacts the objects of a page.
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -173,6 +173,13 @@
 	return m.currentAsOf + m.maxAge - boottime.Now()
 }
 
+// isEmpty reports whether the mirror has never had a copy.
+func (m *mirror) isEmpty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision == 0
+}
+
 // isCurrent reports whether the copy counts as current.
 func (m *mirror) isCurrent() bool {
 	m.mu.Lock()
