--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -201,10 +201,10 @@
 
 // watch answers a follower with the changes after from, or with all objects if the mirror
 // does not know all removals since then. It waits for a change until ctx ends or the copy is no
-// longer current; with confirmations, which relays ask for, also for the next confirmation by
-// the store, and a copy counts as not current once a call to the store has failed; Current in the response reports whether the copy is current. A
-// copy that is not current at first may become so within takeoverGrace, or once the first
-// listing has been read.
+// longer current; Current in the response reports whether the copy is current. A copy that is
+// not current at first may become so within takeoverGrace, or once the first listing has been
+// read. With confirmations, which relays of other failure domains ask for, it also waits for
+// the next confirmation by the store only, and the copy is not current after a failed call.
 func (m *mirror) watch(ctx context.Context, from store.Point, confirmations bool) peer.WatchResponse {
 	received := boottime.Now()
 	graceEnd := received + m.grace()
