--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,7 +109,6 @@
 func (s *Server) Serve(l net.Listener) {
 	s.mu.Lock()
 	s.sessions = make(map[*sessionConn]struct{})
-	s.starting = make(map[Conn]struct{})
 	s.mu.Unlock()
 	acceptloop.Run(l, func(c net.Conn) { s.wg.Go(func() { s.serve(s.Wrap(c)) }) })
 }
@@ -173,6 +172,9 @@
 		timeout = leavingStartTimeout
 	}
 	err = c.SetReadDeadline(time.Now().Add(timeout))
+	if s.starting == nil {
+		s.starting = make(map[Conn]struct{})
+	}
 	s.starting[c] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
