--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -48,8 +48,8 @@
 const (
 	// startTimeout limits the wait for the first message.
 	startTimeout = 5 * time.Second
-	// leavingStartTimeout is the same for a daemon that shuts down. Callers send the first
-	// message with the connect.
+	// leavingStartTimeout is the same for a daemon that shuts down, so that a connection
+	// without a first message does not hold up its exit.
 	leavingStartTimeout = 200 * time.Millisecond
 	// writeTimeout limits the write of an answer to a caller that doesn't read.
 	writeTimeout = 10 * time.Second
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -341,8 +341,9 @@
 	return f.apply(ctx, relay, request, started, answer, err)
 }
 
-// apply takes over the answer of a relay to a request that was sent after started, or its
-// error, and returns the point to continue from.
+// apply delivers the answer of a relay to a request that was sent after started, and returns
+// the point to continue from. err is the error of the request; apply returns it unless the
+// answer is adopted.
 func (f *feed) apply(ctx context.Context, relay *peer.Client, request peer.WatchRequest, started time.Duration, answer peer.WatchResponse, err error) (store.Point, error) {
 	from := request.Point()
 	if f.adopts(from, answer, err) {
