Review case 1: two primaries after a second promotion to a term that is in use

A daemon that has not seen the first promotion promotes another replica with the same intended term. The platform gives it the next term, so the intent in the store does not end the leases on the first new primary, and two primaries serve.

--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -45,6 +45,8 @@
 	mu    sync.Mutex
 	runs  []run
 	calls []promotion
+	// lastBeat is when the instances last wrote their entries.
+	lastBeat time.Time
 	// onLead is called with the new primary when a promote has taken effect; it may be nil.
 	onLead func(in *instance)
 }
@@ -75,6 +77,12 @@
 	draining   bool
 	// down is set while no process runs.
 	down bool
+	// deaf is set while the instance receives nothing from the primary.
+	deaf bool
+	// cut is set while the instance is partitioned from the other instances, and mendedAt
+	// is when that ended.
+	cut      bool
+	mendedAt time.Time
 	// shed, if not nil, reports whether the instance answers a request with BUSY although
 	// its health is good.
 	shed func() bool
@@ -123,6 +131,7 @@
 func (s *service) beat() {
 	for range time.Tick(heartbeat) {
 		s.mu.Lock()
+		s.lastBeat = time.Now()
 		for _, in := range s.instances {
 			in.publish()
 		}
@@ -140,9 +149,13 @@
 				p = in
 			}
 		}
-		if p != nil {
+		if p != nil && !p.cut {
 			for _, in := range s.instances {
-				if in == p || in.down || in.held > p.term {
+				if in == p || in.down || in.deaf || in.cut || in.held > p.term {
+					continue
+				}
+				if in.primary && time.Since(in.mendedAt) < time.Second {
+					// An old primary continues until a second after it reaches the new one.
 					continue
 				}
 				changed := in.primary
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -213,7 +213,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig){"busy-sessions": busySessions, "shed-settings": shedSettings, "draining-replica": drainingReplica, "prepared-flood": preparedFlood}
+	cases := map[string]func(*rig){"busy-sessions": busySessions, "shed-settings": shedSettings, "draining-replica": drainingReplica, "prepared-flood": preparedFlood, "second-term": secondTerm}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(notPlayed)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
@@ -38,10 +39,13 @@
 	changed  chan struct{}
 	// fault maps a daemon to how its calls fail: "", "busy", "reset" or "silent".
 	fault map[string]string
+	// addresses maps a daemon to the addresses by which it gets to the instances, where
+	// these differ from their own.
+	addresses map[string]map[string]string
 }
 
 func newStore() *store {
-	return &store{revision: 100, objects: map[string]*object{}, changed: make(chan struct{}), fault: map[string]string{}}
+	return &store{revision: 100, objects: map[string]*object{}, changed: make(chan struct{}), fault: map[string]string{}, addresses: map[string]map[string]string{}}
 }
 
 // listen serves the calls of one daemon at a free port of ip.
@@ -129,9 +133,16 @@
 		<-r.Context().Done()
 		return
 	}
+	data, err := json.Marshal(answer)
+	cannotRun(err)
+	s.mu.Lock()
+	for own, other := range s.addresses[daemon] {
+		data = bytes.ReplaceAll(data, []byte(own), []byte(other))
+	}
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer)
+	_, _ = w.Write(data)
 }
 
 func (s *store) handle(r *http.Request, daemon, kind, name string, body []byte) (int, any) {
