--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays the case. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/rig busy-sessions review/4/record.txt
+exec review/bin/rig shed-settings review/4/record.txt
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -162,19 +162,6 @@
 	}()
 }
 
-// restart starts the process of a daemon again, in a system that has started before.
-func (r *rig) restart(d *daemon) {
-	data, err := os.ReadFile(d.settings)
-	cannotRun(err)
-	var settings map[string]any
-	cannotRun(json.Unmarshal(data, &settings))
-	settings["bootstrap"] = false
-	data, err = json.Marshal(settings)
-	cannotRun(err)
-	cannotRun(os.WriteFile(d.settings, data, 0o644))
-	r.start(d)
-}
-
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	res, err := client.Get("http://" + d.ready + "/api/readiness")
@@ -213,7 +200,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig){"busy-sessions": busySessions, "shed-settings": shedSettings, "draining-replica": drainingReplica, "prepared-flood": preparedFlood, "second-term": secondTerm}
+	cases := map[string]func(*rig){"busy-sessions": busySessions, "shed-settings": shedSettings, "draining-replica": drainingReplica, "second-term": secondTerm}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(notPlayed)
