Check idle connections whatever the deadline of their last read

conncheck.Closed took a connection for closed once the deadline of its last read had passed, because syscall.RawConn.Read fails then. An idle connection to a target was closed and opened again when the time-out of its last statement had passed, though nothing was wrong with it.

Change: RawConn.Control, which knows no deadlines.

TestClosed has a case that failed before. The effect on the number of new connections is not measured yet.

--- a/internal/conncheck/conncheck.go
+++ b/internal/conncheck/conncheck.go
@@ -22,11 +22,11 @@
 		return true
 	}
 	openAndEmpty := false
-	err = control.Read(func(fd uintptr) bool {
+	// Unlike Read, Control does not fail after the deadline of the last read.
+	err = control.Control(func(fd uintptr) {
 		var buf [1]byte
 		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		openAndEmpty = errors.Is(recvErr, syscall.EAGAIN)
-		return true
 	})
 	return err != nil || !openAndEmpty
 }
--- a/internal/conncheck/conncheck_test.go
+++ b/internal/conncheck/conncheck_test.go
@@ -35,6 +35,8 @@
 	return false
 }
 
+// Also guards against idle connections that are closed and opened again because the deadline
+// of their last statement has passed.
 func TestClosed(t *testing.T) {
 	Convey("An idle connection is open until its peer closes it", t, func() {
 		near, far := connPair(t)
@@ -52,6 +54,11 @@
 		So(err, ShouldBeNil)
 		So(one[0], ShouldEqual, 'x')
 	})
+	Convey("A connection is open after the deadline of its last read has passed", t, func() {
+		near, _ := connPair(t)
+		So(near.SetDeadline(time.Now().Add(-time.Second)), ShouldBeNil)
+		So(Closed(near), ShouldBeFalse)
+	})
 	Convey("A locally closed connection counts as closed, and one without a descriptor as open", t, func() {
 		near, _ := connPair(t)
 		So(near.Close(), ShouldBeNil)
