End busy sessions of a leaving daemon between two statements

Cause: a session of a daemon that shuts down ended only if no statement came for 20 ms. One that is never idle for so long was cut off at the end of the grace period, in the middle of a statement.

Change: after Leave a session ends right after an answer outside a transaction, unless its next message has arrived. An open transaction is rolled back with the first statement after half of the grace period that does not end it, also if its caller is never idle.

TestExitWithBusySessions and TestExitWithBusyTransactions failed before: sessions stayed open to the end of the grace period.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -28,7 +28,8 @@
 	ReadStart() (database, key string, err error)
 	// ReadStatement reads the next statement.
 	ReadStatement() (query.Statement, error)
-	// Buffered reports whether bytes of the next message are already buffered.
+	// Buffered reports whether bytes of the next message have arrived, or the caller has closed
+	// the connection.
 	Buffered() bool
 	// WriteReady accepts the session.
 	WriteReady() error
@@ -242,6 +243,10 @@
 		if err != nil {
 			return err
 		}
+		told := ses.state.toldOfRollback()
+		if s.endingTransactions.Load() && !st.Kind.EndsTransaction() {
+			ses.state.ExpireTransaction("shutting_down")
+		}
 		a := ses.state.Run(st, boottime.Now())
 		if err := ses.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
@@ -249,12 +254,26 @@
 		if err := ses.conn.WriteAnswer(a); err != nil {
 			return fmt.Errorf("write answer: %w", err)
 		}
+		if s.endsAfterAnswer(ses, told) {
+			return errLeaving
+		}
 		if a.Code == query.Unauthorized && ses.state.isRevoked() {
 			return errKeyRevoked
 		}
 	}
 }
 
+// endsAfterAnswer reports whether a session ends right after an answer because the daemon
+// shuts down: its caller has no statement outstanding then, while one that is never idle for
+// leaveReadTimeout always has one at some later moment. An open transaction may end first,
+// but not one whose caller was told before that it was rolled back.
+func (s *Server) endsAfterAnswer(ses *sessionConn, toldOfRollback bool) bool {
+	if ses.state.InTransaction() {
+		return toldOfRollback && s.endingTransactions.Load()
+	}
+	return s.leaving.Load() && !ses.conn.Buffered()
+}
+
 // readStatement reads the next statement. Meanwhile it expires a transaction that is idle
 // for too long. It returns errLeaving if the daemon is shutting down and the session has no
 // open transaction, and errKeyRevoked if the session's key was revoked and its caller has
@@ -354,7 +373,7 @@
 	}
 }
 
-// Leave ends idle sessions, and all others as soon as they have no open transaction.
+// Leave ends idle sessions, and all others after their next answer outside a transaction.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 	s.wakeWaitingSessions()
@@ -366,7 +385,7 @@
 	}
 }
 
-// EndTransactions aborts all open transactions.
+// EndTransactions aborts all open transactions, except for those that are committed next.
 func (s *Server) EndTransactions() {
 	s.endingTransactions.Store(true)
 	s.wakeWaitingSessions()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -76,6 +76,12 @@
 	return s.tx != nil
 }
 
+// toldOfRollback reports whether a transaction is open that was rolled back, and the caller
+// has been told so.
+func (s *Session) toldOfRollback() bool {
+	return s.tx != nil && s.tx.failed && !s.tx.unreported
+}
+
 func (s *Session) state() query.TxState {
 	switch {
 	case s.tx == nil:
@@ -99,7 +105,7 @@
 	if st.Kind.UsesTarget() && s.isStale() {
 		return s.refuseStale(st)
 	}
-	if s.tx != nil && s.tx.failed && st.Kind != query.Commit && st.Kind != query.Rollback {
+	if s.tx != nil && s.tx.failed && !st.Kind.EndsTransaction() {
 		if s.tx.unreported {
 			s.tx.unreported = false
 			return query.Failure(query.Aborted, query.Failed, "the transaction was rolled back")
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,6 +108,88 @@
 	return l.Addr().String()
 }
 
+// Guards against a shutdown that breaks off statements of sessions that are never idle: each
+// lost the one that was at a target when the grace period ended.
+func TestExitWithBusySessions(t *testing.T) {
+	tc := newTestCluster(t, "north", "north")
+	tc.group.StatementTime = 5 * time.Millisecond
+	n := tc.nodes[0]
+	var lost, ended atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 6 {
+		c := tc.connect(n, dbSession)
+		wg.Go(func() {
+			for q := 0; ; q++ {
+				text := "READ a"
+				if q%8 == 0 {
+					text = fmt.Sprintf("WRITE a%d %d", i, q)
+				}
+				r := c.Query(text)
+				if r.Completion == "closed" {
+					ended.Add(1)
+					lost.Add(int64(tc.group.RunCount(r.ID)))
+					return
+				}
+				time.Sleep(time.Duration(1+(i+q)%9) * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	started := time.Now()
+	err := n.Stop(context.Background())
+	took := time.Since(started)
+	tc.kill(n) // as the exit of the process does
+	wg.Wait()
+	if limit := balancerRemovalTime + leavingTime + exitTime; err != nil || took > limit {
+		t.Errorf("the shutdown took %s, want at most %s; error %v", took, limit, err)
+	}
+	if lost.Load() != 0 || ended.Load() != 6 {
+		t.Errorf("%d of 6 sessions ended, %d statements that ran were not answered", ended.Load(), lost.Load())
+	}
+}
+
+// Guards against a shutdown that waits for a transaction whose caller goes on sending
+// statements, and breaks one off at the end of the grace period.
+func TestExitWithBusyTransactions(t *testing.T) {
+	for _, c := range []struct{ name, after, want string }{
+		{"ended by its caller", "ROLLBACK", "DONE"},
+		{"continued by its caller", "READ a", "ERR"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			tc := newTestCluster(t, "north", "north")
+			tc.group.StatementTime = 5 * time.Millisecond
+			n := tc.nodes[0]
+			session := tc.connect(n, dbCurrent)
+			if r := session.Query("BEGIN"); r.Completion == "closed" {
+				t.Fatal("the session was not accepted")
+			}
+			stopped := make(chan error, 1)
+			started := time.Now()
+			go func() { stopped <- n.Stop(context.Background()) }()
+			r := session.Query("READ a")
+			for r.OK() && time.Since(started) < tc.grace {
+				time.Sleep(5 * time.Millisecond)
+				r = session.Query("READ a")
+			}
+			if r.Code() != "ABORTED" {
+				t.Errorf("the transaction ended with %s %s, want ABORTED", r.Completion, r.Code())
+			}
+			if r = session.Query(c.after); !strings.HasPrefix(r.Completion, c.want) {
+				t.Errorf("%s was answered %s, want %s", c.after, r.Completion, c.want)
+			}
+			if line := session.ReadLine(); line != "closed" {
+				t.Errorf("got %s after the end of the transaction, want the end of the session", line)
+			}
+			err := <-stopped
+			limit := time.Duration(transactionShare*float64(tc.grace)) + leavingTime + exitTime
+			if took := time.Since(started); err != nil || took > max(limit, balancerRemovalTime+leavingTime+exitTime) {
+				t.Errorf("the shutdown took %s; error %v", took, err)
+			}
+		})
+	}
+}
+
 // Guards against a bound on the loops that hides which of them did not end.
 func TestLoops(t *testing.T) {
 	Convey("Loops that don't end in time are named, and those that do are not waited for", t, func() {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// EndsTransaction reports whether a caller's statement of this kind ends a transaction.
+func (k Kind) EndsTransaction() bool {
+	return k == Commit || k == Rollback
+}
+
 // Statement is a decoded statement. Its kind determines which fields are set.
 type Statement struct {
 	// ID is the id that the caller gave the request; empty for laburnumrack's own
