Promote a draining target that alone has acknowledged commits

Cause: SelectCandidate passed over draining targets for every group, while HoldsSuffice counted them among those that guarantee the commits.

Change: with synchronous replicas the longest log decides, and draining only between equal logs. A draining primary is replaced as planned afterwards. If the platform answers that the candidate runs no process, it no longer counts as held, and the attempt ends if too few are left.

TestSelect replaces TestSelectCandidate; it has the same checks and more, for the function that became Candidates.Select.

TestDrainingReplicaHasCommits failed before (reads returned nothing).

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -280,7 +280,7 @@
 	for boottime.Now() < deadline && ctx.Err() == nil {
 		caughtUp := func(seen []leadership.Observation) bool {
 			return slices.ContainsFunc(seen, func(o leadership.Observation) bool {
-				return o.Reached && !o.Draining && o.ID != a.old.Info().ID && o.Status.Received.Covers(end)
+				return o.Reached && !o.Draining && o.ID != a.oldID() && o.Status.Received.Covers(end)
 			})
 		}
 		if caughtUp(a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, caughtUp)) {
@@ -294,16 +294,9 @@
 // that one can be promoted, and returns what was observed. It fails after holdTimeout.
 func (a *attempt) holdReplicas(ctx context.Context) ([]leadership.Observation, error) {
 	deadline := boottime.Now() + holdTimeout
-	oldID := ""
-	if a.old != nil {
-		oldID = a.old.Info().ID
-	}
 	for {
-		sufficient := func(seen []leadership.Observation) bool {
-			return leadership.HoldsSuffice(seen, oldID, a.term, a.group.Limits().SyncReplicas)
-		}
-		observed := a.group.Observe(ctx, query.Statement{Kind: query.Hold, Term: a.term}, a.old, sufficient)
-		if sufficient(observed) {
+		observed := a.group.Observe(ctx, query.Statement{Kind: query.Hold, Term: a.term}, a.old, a.holdsSuffice)
+		if a.holdsSuffice(observed) {
 			return observed, nil
 		}
 		if boottime.Now() > deadline || ctx.Err() != nil {
@@ -313,24 +306,50 @@
 	}
 }
 
+// holdsSuffice reports whether enough replicas are held to promote one.
+func (a *attempt) holdsSuffice(seen []leadership.Observation) bool {
+	return leadership.HoldsSuffice(seen, a.oldID(), a.term, a.group.Limits().SyncReplicas)
+}
+
+// oldID returns the ID of the primary to replace, empty if it is unknown.
+func (a *attempt) oldID() string {
+	if a.old == nil {
+		return ""
+	}
+	return a.old.Info().ID
+}
+
+// markRefused changes the observation of a target: the platform has answered that no process
+// runs there.
+func markRefused(observed []leadership.Observation, id string) {
+	for i := range observed {
+		if observed[i].ID == id {
+			observed[i].Reached, observed[i].Refused = false, true
+		}
+	}
+}
+
 // promoteBest makes the promote call for the best candidate, and for the next one if the
 // target is not running. It returns the ID of the promoted target. If it fails without a call
 // that may have had an effect, it records that.
 func (a *attempt) promoteBest(ctx context.Context, observed []leadership.Observation) (string, error) {
-	excluded := map[string]bool{}
-	if a.old != nil {
-		excluded[a.old.Info().ID] = true
+	candidates := leadership.Candidates{Targets: observed, Except: map[string]bool{}, SyncReplicas: a.group.Limits().SyncReplicas, Prefer: a.isNearer}
+	if id := a.oldID(); id != "" {
+		candidates.Except[id] = true
 	}
 	for {
-		target, ok := leadership.SelectCandidate(observed, excluded, a.isNearer)
+		target, ok := candidates.Select()
 		if !ok {
 			return "", a.withoutEffect(ctx, fmt.Errorf("no replica of group %s can be promoted", a.group.Name))
 		}
 		answer, err := a.callPromote(ctx, target)
 		switch answer {
 		case PromoteRefused:
-			excluded[target] = true
-			continue
+			candidates.Except[target] = true
+			markRefused(observed, target)
+			if !a.holdsSuffice(observed) {
+				return "", a.withoutEffect(ctx, fmt.Errorf("target %s is not running, and too few others are held", target))
+			}
 		case PromoteAccepted, PromoteOutcomeUnknown:
 			if term, ok := a.awaitEffect(ctx, target); ok {
 				return target, a.PromotionLock.MarkPromoted(ctx, a.lock, a.group.Name, term)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -145,28 +145,50 @@
 	return NotNeeded
 }
 
-// SelectCandidate returns the ID of the target to promote: the one with the longest log
-// among those that were reached, are not draining and are not in except. Among equal
-// logs, prefer reports whether a is preferred to b. It reports false if there is none.
-func SelectCandidate(targets []Observation, except map[string]bool, prefer func(a, b string) bool) (string, bool) {
+// Candidates are the targets of which one is promoted.
+type Candidates struct {
+	// Targets are the held targets.
+	Targets []Observation
+	// Except names targets that must not be promoted.
+	Except map[string]bool
+	// SyncReplicas is the number of replicas that receive a commit before it is acknowledged.
+	SyncReplicas int
+	// Prefer reports whether x is preferred to y, which has the same log.
+	Prefer func(x, y string) bool
+}
+
+// Select returns the ID of the target to promote: the one with the longest log among those
+// that were reached and are not excepted. Draining targets are passed over, unless commits are
+// acknowledged only after replicas received them: then a draining target may be the only one
+// that has them, and is passed over only for one with the same log. It reports false if there
+// is none.
+func (c Candidates) Select() (string, bool) {
 	best := -1
-	for i, t := range targets {
-		if !t.Reached || t.Draining || except[t.ID] {
-			continue
-		}
-		if best < 0 {
-			best = i
+	for i, t := range c.Targets {
+		if !t.Reached || c.Except[t.ID] || t.Draining && c.SyncReplicas == 0 {
 			continue
 		}
-		switch c := t.Status.Received.Compare(targets[best].Status.Received); {
-		case c > 0, c == 0 && prefer(t.ID, targets[best].ID):
+		if best < 0 || c.better(t, c.Targets[best]) {
 			best = i
 		}
 	}
 	if best < 0 {
 		return "", false
 	}
-	return targets[best].ID, true
+	return c.Targets[best].ID, true
+}
+
+// better reports whether x is to be promoted rather than y.
+func (c Candidates) better(x, y Observation) bool {
+	order := x.Status.Received.Compare(y.Status.Received)
+	switch {
+	case order != 0:
+		return order > 0
+	case x.Draining != y.Draining:
+		return y.Draining
+	default:
+		return c.Prefer(x.ID, y.ID)
+	}
 }
 
 // HoldsSuffice reports whether enough replicas are held to promote one: every target
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -67,20 +67,38 @@
 	})
 }
 
-func TestSelectCandidate(t *testing.T) {
-	lessID := func(a, b string) bool { return a < b }
+func TestSelect(t *testing.T) {
 	draining := reached("c", false, 1, 99)
 	draining.Draining = true
 	targets := []Observation{{ID: "p"}, reached("b", false, 1, 7), reached("a", false, 1, 7), reached("d", false, 1, 5), draining}
-	Convey("The target with the longest log that is not draining is selected; prefer decides between equal logs", t, func() {
-		id, ok := SelectCandidate(targets, nil, lessID)
+	candidates := func(targets []Observation, syncReplicas int, except ...string) Candidates {
+		c := Candidates{Targets: targets, Except: map[string]bool{}, SyncReplicas: syncReplicas, Prefer: func(a, b string) bool { return a < b }}
+		for _, id := range except {
+			c.Except[id] = true
+		}
+		return c
+	}
+	Convey("The target with the longest log that is not draining is selected; Prefer decides between equal logs", t, func() {
+		id, ok := candidates(targets, 0).Select()
 		So(ok, ShouldBeTrue)
 		So(id, ShouldEqual, "a")
-		id, _ = SelectCandidate(targets, map[string]bool{"a": true, "b": true}, lessID)
+		id, _ = candidates(targets, 0, "a", "b").Select()
 		So(id, ShouldEqual, "d")
-		_, ok = SelectCandidate(targets[:1], nil, lessID)
+		_, ok = candidates(targets[:1], 0).Select()
 		So(ok, ShouldBeFalse)
 	})
+	Convey("With synchronous replicas, a draining target is selected if only it has the longest log", t, func() {
+		id, _ := candidates(targets, 1).Select()
+		So(id, ShouldEqual, "c")
+		id, _ = candidates(targets, 1, "c").Select()
+		So(id, ShouldEqual, "a")
+		sameLog := draining
+		sameLog.Status.Received.Index = 7
+		id, _ = candidates([]Observation{sameLog, targets[1]}, 1).Select()
+		So(id, ShouldEqual, "b")
+		id, _ = candidates([]Observation{targets[1], sameLog}, 1).Select()
+		So(id, ShouldEqual, "b")
+	})
 }
 
 func TestHoldsSuffice(t *testing.T) {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -39,6 +39,9 @@
 	// strictRevocation, if not zero, is the time of strict revocation at daemons started
 	// from now on.
 	strictRevocation time.Duration
+	// syncReplicas is the number of replicas that later configurations declare to receive a
+	// commit before it is acknowledged.
+	syncReplicas int
 	// grace is the grace period of shutdowns of daemons started from now on.
 	grace time.Duration
 	// capacity, if not zero, is the capacity in the settings of daemons started from now on.
@@ -112,7 +115,7 @@
 	tc.version++
 	configuration := map[string]any{
 		"version": tc.version, "routes": routes,
-		"services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": 0}},
+		"services": []any{map[string]any{"name": "grp", "max_conns": 21, "sync_replicas": tc.syncReplicas}},
 		"limits":   map[string]any{"tx_idle_ms": 3000},
 	}
 	if tc.tenants != nil {
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -295,6 +295,44 @@
 	})
 }
 
+// Guards against the loss of acknowledged commits: the only replica that had received them was
+// draining, and another one was promoted.
+func TestDrainingReplicaHasCommits(t *testing.T) {
+	Convey("With synchronous replicas, commits that only a draining replica has are kept when the primary crashes", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		tc.syncReplicas = 1
+		tc.configure(dbCurrent)
+		tc.eventually(2*time.Second, "the daemons know that commits wait for a replica", func() bool {
+			for _, n := range tc.nodes {
+				if n.registry.Group("grp").Limits().SyncReplicas != 1 {
+					return false
+				}
+			}
+			return true
+		})
+		const lag = 2 * time.Second
+		tc.group.SetLag(2, lag)
+		c := tc.connect(tc.nodes[2], dbCurrent)
+		So(c.Query("READ before0").OK(), ShouldBeTrue)
+		tc.group.Drain(1)
+		time.Sleep(500 * time.Millisecond) // the daemons learn of it
+		for i := range 10 {
+			So(c.Query(fmt.Sprintf("WRITE before%d kept", i)).OK(), ShouldBeTrue)
+		}
+		time.Sleep(50 * time.Millisecond) // replication to the draining replica
+		tc.group.Crash(0)
+		writeInNewTerm(tc, c, "after", 1)
+		for i := range 10 {
+			So(c.Query(fmt.Sprintf("READ before%d", i)).Rows, ShouldResemble, []string{"kept"})
+		}
+		tc.eventually(8*time.Second, "a target that stays takes over", func() bool { p, _ := tc.group.Primary(); return p == 2 })
+		for i := range 10 {
+			So(tc.group.Committed(fmt.Sprintf("before%d", i)), ShouldNotBeEmpty)
+		}
+		checkSingleHolder(tc)
+	})
+}
+
 // Guards against a holder that takes the replaced primary for the present one: it could not
 // hold the real one as a replica, left the other replica held, and the group had no primary
 // until the whole fleet was restarted.
