Hand over from a leading primary also when another daemon asks for it

Callers lost acknowledged writes in a planned replacement if another daemon saw first that the primary leaves, and the group was without a primary longer than needed.

Cause: the holder acted on such a request as for a lost primary. It demoted the primary 0.35 s before its leases ended and held the replicas at once, with commits on their way to them. With synchronous replicas it also refused to promote while any replica was down, though another one had the whole log.

Change: a primary that leads and answers hands over, whatever the reason. A replica that has the whole log of the demoted primary suffices.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -98,9 +98,12 @@
 	*Promoter
 	group *backend.Group
 	// old is the primary to replace, nil if unknown.
-	old  *backend.Target
-	term position.Term
-	lock PromotionLock
+	old *backend.Target
+	// oldEnd is the end of the log of the old primary if it led the term before and was
+	// demoted, nil if not.
+	oldEnd *position.Position
+	term   position.Term
+	lock   PromotionLock
 }
 
 // Promote makes another target the primary of g, for the given reason; since is how long
@@ -181,12 +184,16 @@
 	if err := a.checkLock(); err != nil {
 		return "", err
 	}
-	if primaryLeads && reason == leadership.PrimaryUnreachable {
+	if primaryLeads && !a.old.Info().Draining && reason == leadership.PrimaryUnreachable {
 		a.Log.StateChange("promotion_withdrawn", "group", a.group.Name, "term", a.term)
 		return "", a.PromotionLock.Withdraw(ctx, a.lock, a.group.Name)
 	}
-	if err := a.retirePrimary(ctx, primaryLeads || reason == leadership.PrimaryLeaving, leasesEnd); err != nil {
-		return "", err
+	if primaryLeads || reason == leadership.PrimaryLeaving {
+		if err := a.handOver(ctx, primaryLeads, leasesEnd); err != nil {
+			return "", err
+		}
+	} else {
+		a.demote(ctx)
 	}
 	observed, err := a.holdReplicas(ctx)
 	if err != nil {
@@ -209,20 +216,22 @@
 	return nil
 }
 
-// retirePrimary demotes the old primary. One that still serves does so until the leases on it
-// expire at leasesEnd, and a replica gets the time to receive the rest of its log.
-func (a *attempt) retirePrimary(ctx context.Context, serves bool, leasesEnd time.Duration) error {
-	if !serves {
-		a.demote(ctx)
-		return nil
-	}
+// handOver demotes the old primary when the leases on it expire at leasesEnd, until when it
+// serves, and waits until a replica has received the rest of its log. leads tells that it is
+// known to lead the present term.
+func (a *attempt) handOver(ctx context.Context, leads bool, leasesEnd time.Duration) error {
 	ctxtime.Sleep(ctx, leasesEnd-boottime.Now())
 	if err := a.checkLock(); err != nil {
 		return err
 	}
-	if end, demoted := a.demote(ctx); demoted {
-		a.awaitCatchUp(ctx, end)
+	end, demoted := a.demote(ctx)
+	if !demoted {
+		return nil
+	}
+	if leads {
+		a.oldEnd = &end
 	}
+	a.awaitCatchUp(ctx, end)
 	return nil
 }
 
@@ -236,10 +245,10 @@
 	return nil
 }
 
-// isPrimaryLeading reports whether the old primary is listed, is not draining, answers
-// and leads the current term.
+// isPrimaryLeading reports whether the old primary is listed, answers and leads the current
+// term.
 func (a *attempt) isPrimaryLeading(ctx context.Context) bool {
-	if a.old == nil || !a.group.HasTarget(a.old) || a.old.Info().Draining {
+	if a.old == nil || !a.group.HasTarget(a.old) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, demoteTimeout)
@@ -279,9 +288,7 @@
 	deadline := boottime.Now() + catchUpTimeout
 	for boottime.Now() < deadline && ctx.Err() == nil {
 		caughtUp := func(seen []leadership.Observation) bool {
-			return slices.ContainsFunc(seen, func(o leadership.Observation) bool {
-				return o.Reached && !o.Draining && o.ID != a.oldID() && o.Status.Received.Covers(end)
-			})
+			return slices.ContainsFunc(seen, func(o leadership.Observation) bool { return !o.Draining && a.covers(o, end) })
 		}
 		if caughtUp(a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, caughtUp)) {
 			return
@@ -306,9 +313,20 @@
 	}
 }
 
-// holdsSuffice reports whether enough replicas are held to promote one.
+// holdsSuffice reports whether enough replicas are held to promote one. A replica with the
+// whole log of the demoted primary has every acknowledged commit, whatever the others have.
 func (a *attempt) holdsSuffice(seen []leadership.Observation) bool {
-	return leadership.HoldsSuffice(seen, a.oldID(), a.term, a.group.Limits().SyncReplicas)
+	syncReplicas := a.group.Limits().SyncReplicas
+	if a.oldEnd != nil && slices.ContainsFunc(seen, func(o leadership.Observation) bool { return a.covers(o, *a.oldEnd) }) {
+		syncReplicas = 0
+	}
+	return leadership.HoldsSuffice(seen, a.oldID(), a.term, syncReplicas)
+}
+
+// covers reports whether a target other than the old primary was reached and has received
+// everything up to end.
+func (a *attempt) covers(o leadership.Observation, end position.Position) bool {
+	return o.Reached && o.ID != a.oldID() && o.Status.Received.Covers(end)
 }
 
 // oldID returns the ID of the primary to replace, empty if it is unknown.
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -252,47 +252,71 @@
 func TestHandoverUnderWrites(t *testing.T) {
 	Convey("No acknowledged write is lost when a primary under writes hands over", t, func() {
 		tc := newTestCluster(t, "north", "south")
-		const lag, writers = 60 * time.Millisecond, 3
-		for _, replica := range []int{1, 2} {
-			tc.group.SetLag(replica, lag)
-		}
-		var acknowledged sync.Map
-		var wg sync.WaitGroup
-		ended := make(chan struct{})
-		for w := range writers {
-			c := tc.connect(tc.nodes[w%len(tc.nodes)], dbCurrent)
-			wg.Go(func() {
-				for i := 0; ; i++ {
-					select {
-					case <-ended:
-						return
-					default:
-					}
-					item := fmt.Sprintf("w%d-%d", w, i)
-					if c.Query("WRITE " + item + " v").OK() {
-						acknowledged.Store(item, true)
-					}
-					time.Sleep(8 * time.Millisecond)
+		So(writesLostInHandover(tc, func() {}), ShouldBeEmpty)
+	})
+}
+
+// Guards against a planned replacement that is made like that of a lost primary if another
+// daemon has requested it: the primary was demoted early, and commits on their way to the
+// replicas were lost.
+func TestRequestedHandoverUnderWrites(t *testing.T) {
+	Convey("Nor if another daemon sees first that the primary leaves", t, func() {
+		tc := newTestCluster(t, "north", "south")
+		So(writesLostInHandover(tc, func() {
+			for _, n := range tc.nodes {
+				if n.promotionLock.IsHolder() {
+					n.registry.Group("grp").RequestPromotion(2)
 				}
-			})
-		}
-		tc.group.Drain(0)
-		tc.eventually(8*time.Second, "a replica leads", func() bool {
-			_, term := tc.group.Primary()
-			return term > 1
-		})
-		time.Sleep(handoverDuration)
-		close(ended)
-		wg.Wait()
-		var lost []string
-		acknowledged.Range(func(item, _ any) bool {
-			if len(tc.group.Committed(item.(string))) == 0 {
-				lost = append(lost, item.(string))
 			}
-			return true
+		}), ShouldBeEmpty)
+	})
+}
+
+// writesLostInHandover drains the primary while callers write, calls drained, waits for a new
+// primary, and returns the acknowledged writes that it lacks.
+func writesLostInHandover(tc *testCluster, drained func()) []string {
+	const lag, writers = 60 * time.Millisecond, 3
+	for _, replica := range []int{1, 2} {
+		tc.group.SetLag(replica, lag)
+	}
+	var acknowledged sync.Map
+	var wg sync.WaitGroup
+	ended := make(chan struct{})
+	for w := range writers {
+		c := tc.connect(tc.nodes[w%len(tc.nodes)], dbCurrent)
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				item := fmt.Sprintf("w%d-%d", w, i)
+				if c.Query("WRITE " + item + " v").OK() {
+					acknowledged.Store(item, true)
+				}
+				time.Sleep(8 * time.Millisecond)
+			}
 		})
-		So(lost, ShouldBeEmpty)
+	}
+	time.Sleep(100 * time.Millisecond)
+	tc.group.Drain(0)
+	drained()
+	tc.eventually(8*time.Second, "a replica leads", func() bool {
+		_, term := tc.group.Primary()
+		return term > 1
+	})
+	time.Sleep(handoverDuration)
+	close(ended)
+	wg.Wait()
+	var lost []string
+	acknowledged.Range(func(item, _ any) bool {
+		if len(tc.group.Committed(item.(string))) == 0 {
+			lost = append(lost, item.(string))
+		}
+		return true
 	})
+	return lost
 }
 
 // Guards against the loss of acknowledged commits: the only replica that had received them was
