Run a statement only after the target has the values of its session

An instance ran reads and writes of one session with the values of another, or with none, when it refused the statements that set up the session.

Cause: PooledConn.Exchange sent RESET, SET and PREPARE in one write with the caller's statement, which was at the target when one of them was refused.

Change: the caller's statement follows the answers to RESET and SET. After a refusal the values of the connection are unknown, and the next use begins with a RESET. The statement counts as not run and is tried again; the connection stays open. PREPARE is still sent along: its name is a hash of the shape, so nothing runs without it, and the answer is BUSY in place of NOSTMT.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,6 +8,8 @@
 	"maps"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
 
@@ -53,9 +55,10 @@
 	// tenant is the tenant that the connection was opened for, empty for none. Only
 	// control statements may run for another one.
 	tenant string
-	// values are the session settings and prepared the names of the prepared statements
-	// that the connection has at the target.
-	values   map[string]string
+	// values are the session settings that the connection has at the target, nil if they are
+	// not known.
+	values map[string]string
+	// prepared are the names of the prepared statements that the connection has at the target.
 	prepared map[string]struct{}
 	// session is the session that last used the connection.
 	session uint64
@@ -78,61 +81,125 @@
 	return c.tenant
 }
 
-// setupStatements returns the statements that bring the session state of the connection
-// to e before s runs. It records e as reached: a connection on which one of the
-// statements fails is closed.
-func (c *PooledConn) setupStatements(e query.Environment, s query.Statement) []query.Statement {
-	var out []query.Statement
-	for name := range c.values {
-		if _, ok := e.Values[name]; !ok {
-			out = append(out, query.Statement{Kind: query.Reset})
-			c.values, c.prepared = map[string]string{}, map[string]struct{}{}
-			break
-		}
-	}
-	for name, value := range e.Values {
-		if current, ok := c.values[name]; !ok || current != value {
-			out = append(out, query.Statement{Kind: query.Set, Name: name, Value: value})
-		}
+// Exchange sets up the session state e and runs one statement before the deadline. If the
+// target refuses a part of the session state, the statement has not run and the answer is
+// query.Busy. After an error the connection must be discarded; sent reports whether the
+// statement may have reached the target.
+func (c *PooledConn) Exchange(e query.Environment, s query.Statement, deadline time.Time) (a query.Answer, sent bool, err error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return query.Answer{}, false, err
 	}
-	if len(out) > 0 {
-		c.values = maps.Clone(e.Values)
+	if refusal, err := c.setValues(e.Values); err != nil || !refusal.OK() {
+		return refusal, false, err
 	}
-	if s.Kind != query.Execute {
-		return out
+	if s.Kind == query.Execute {
+		a, err = c.execute(e.Prepared[s.Name], s)
+		return a, true, err
 	}
-	p := e.Prepared[s.Name]
-	name := targetStatementName(p)
-	if _, ok := c.prepared[name]; !ok {
-		out = append(out, query.Statement{Kind: query.Prepare, Name: name, Value: p.Shape, Writes: p.Writes})
-		c.prepared[name] = struct{}{}
+	if err := c.Send(s); err != nil {
+		return query.Answer{}, true, err
 	}
-	return out
+	a, err = c.Receive()
+	return a, true, err
 }
 
-// Exchange sets up the session state e and runs one statement before the deadline. After
-// an error the connection must be discarded; sent reports whether the statement may have
-// reached the target.
-func (c *PooledConn) Exchange(e query.Environment, s query.Statement, deadline time.Time) (a query.Answer, sent bool, err error) {
-	if err := c.SetDeadline(deadline); err != nil {
-		return query.Answer{}, false, err
+// setValues brings the session values of the connection to the wanted ones and returns a
+// success, or query.Busy if the target refused to. It waits for the answers of the target: a
+// statement sent along would run with the values of another session after a refusal.
+func (c *PooledConn) setValues(wanted map[string]string) (query.Answer, error) {
+	statements := c.valueStatements(wanted)
+	if len(statements) == 0 {
+		return query.Success(query.Idle), nil
 	}
-	setup := c.setupStatements(e, s)
-	if s.Kind == query.Execute {
-		s.Name = targetStatementName(e.Prepared[s.Name])
+	c.values = nil
+	if statements[0].Kind == query.Reset {
+		c.prepared = map[string]struct{}{}
 	}
-	if err := c.Send(append(setup, s)...); err != nil {
-		return query.Answer{}, true, err
+	if err := c.Send(statements...); err != nil {
+		return query.Answer{}, err
 	}
-	for _, p := range setup {
+	var refusal *query.Answer
+	for range statements {
 		a, err := c.Receive()
 		if err != nil {
-			return query.Answer{}, true, err
+			return query.Answer{}, err
 		}
-		if !a.OK() {
-			return query.Answer{}, true, fmt.Errorf("set up session state: statement of kind %d failed with code %s", p.Kind, a.Code)
+		if !a.OK() && refusal == nil {
+			refusal = &a
 		}
 	}
-	a, err = c.Receive()
-	return a, true, err
+	if refusal != nil {
+		return setupRefused(*refusal), nil
+	}
+	c.values = maps.Clone(wanted)
+	if c.values == nil {
+		c.values = map[string]string{}
+	}
+	return query.Success(query.Idle), nil
+}
+
+// setupRefused returns the answer to a statement whose session state the target refused with
+// a, so that it did not run.
+func setupRefused(a query.Answer) query.Answer {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`laburnumrack_session_setup_refused_total{code=%q}`, a.Code)).Inc()
+	return query.Failure(query.Busy, a.State, "session state refused: "+a.Code.String())
+}
+
+// valueStatements returns the statements that bring the session values of the connection to
+// the wanted ones.
+func (c *PooledConn) valueStatements(wanted map[string]string) []query.Statement {
+	var out []query.Statement
+	current := c.values
+	if c.hasOtherValues(wanted) {
+		out = append(out, query.Statement{Kind: query.Reset})
+		current = nil
+	}
+	for name, value := range wanted {
+		if known, ok := current[name]; !ok || known != value {
+			out = append(out, query.Statement{Kind: query.Set, Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// hasOtherValues reports whether the connection has values that are not wanted, or may have
+// some.
+func (c *PooledConn) hasOtherValues(wanted map[string]string) bool {
+	if c.values == nil {
+		return true
+	}
+	for name := range c.values {
+		if _, ok := wanted[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// execute runs the prepared statement p by s. A connection that does not have it prepares it
+// in the same call: its name is that of its shape, so nothing runs if the target refuses that.
+func (c *PooledConn) execute(p query.Prepared, s query.Statement) (query.Answer, error) {
+	s.Name = targetStatementName(p)
+	if _, ok := c.prepared[s.Name]; ok {
+		if err := c.Send(s); err != nil {
+			return query.Answer{}, err
+		}
+		return c.Receive()
+	}
+	if err := c.Send(query.Statement{Kind: query.Prepare, Name: s.Name, Value: p.Shape, Writes: p.Writes}, s); err != nil {
+		return query.Answer{}, err
+	}
+	prepared, err := c.Receive()
+	if err != nil {
+		return query.Answer{}, err
+	}
+	if prepared.OK() {
+		c.prepared[s.Name] = struct{}{}
+	}
+	a, err := c.Receive()
+	if err == nil && !prepared.OK() && a.Code == query.NoStatement {
+		prepared.State = a.State
+		a = setupRefused(prepared)
+	}
+	return a, err
 }
--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -245,6 +245,14 @@
 	g.Targets[i].answersToLose = n
 }
 
+// SetShedding makes target i answer the statements with BUSY for which sheds returns true, nil
+// for none. Calls of sheds do not overlap.
+func (g *Group) SetShedding(i int, sheds func(text string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Targets[i].sheds = sheds
+}
+
 // RunCount returns how often a statement ran, summed over all targets.
 func (g *Group) RunCount(id string) int {
 	g.mu.Lock()
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -32,7 +32,10 @@
 	down          bool
 	partitioned   bool // from the other targets, not from callers
 	answersToLose int  // successful answers still to be withheld
-	draining      bool
+	// sheds, if not nil, reports whether the target answers a statement with BUSY. Control
+	// statements are not asked for.
+	sheds    func(text string) bool
+	draining bool
 	// runCounts holds how often each statement ran, by statement ID.
 	runCounts map[string]int
 }
@@ -214,6 +217,9 @@
 		text = statement
 	}
 	f := strings.Fields(text)
+	if t.sheds != nil && !isControl(f[0]) && t.sheds(text) {
+		return errorReply("BUSY")
+	}
 	if s.failed && f[0] != "ROLLBACK" && f[0] != "COMMIT" {
 		return errorReply("BAD")
 	}
@@ -287,6 +293,11 @@
 	return "DONE -\r\n"
 }
 
+// isControl reports whether a statement is about the target itself.
+func isControl(word string) bool {
+	return word == "STATUS" || word == "HOLD" || word == "RESUME" || word == "DEMOTE"
+}
+
 // recordRun records the run of a statement and returns the record. The caller holds
 // group.mu.
 func (s *session) recordRun(id string) *Run {
