Prefer idle connections that have the values of the session

Homes refused more as too late.

Change: of several idle connections one with the values of the session is lent first, then the one that the session used last.

Tried and not taken: not counting the round trip as use of the gate, so that another statement may run meanwhile.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -103,14 +103,19 @@
 	return a, true, err
 }
 
+// hasValues reports whether the connection has the wanted session values and no others.
+func (c *PooledConn) hasValues(wanted map[string]string) bool {
+	return c.values != nil && maps.Equal(c.values, wanted)
+}
+
 // setValues brings the session values of the connection to the wanted ones and returns a
 // success, or query.Busy if the target refused to. It waits for the answers of the target: a
 // statement sent along would run with the values of another session after a refusal.
 func (c *PooledConn) setValues(wanted map[string]string) (query.Answer, error) {
-	statements := c.valueStatements(wanted)
-	if len(statements) == 0 {
+	if c.hasValues(wanted) {
 		return query.Success(query.Idle), nil
 	}
+	statements := c.valueStatements(wanted)
 	c.values = nil
 	if statements[0].Kind == query.Reset {
 		c.prepared = map[string]struct{}{}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -66,6 +66,8 @@
 // waiter is a request that waits for a connection.
 type waiter struct {
 	tenant string
+	// values are the session values of the request.
+	values map[string]string
 	// control is set for a control statement, which may use a connection of any tenant.
 	control  bool
 	priority int
@@ -221,6 +223,12 @@
 	return p.acquire(&waiter{tenant: tenant, priority: priority}, session, 0, until)
 }
 
+// AcquireWithValues is AcquireFor for a session with values: of several idle connections that
+// the session has not used, it prefers one that has these values.
+func (p *Pool) AcquireWithValues(tenant string, session uint64, values map[string]string, priority int, until time.Time) (*PooledConn, Verdict) {
+	return p.acquire(&waiter{tenant: tenant, values: values, priority: priority}, session, 0, until)
+}
+
 // acquire returns a connection for a request, and waits for one until the given time. It
 // may open a number of extra connections above the limit.
 func (p *Pool) acquire(w *waiter, session uint64, extra int, until time.Time) (*PooledConn, Verdict) {
@@ -280,10 +288,10 @@
 // none. p.mu must be held.
 func (p *Pool) takeIdle(w *waiter, session uint64, now time.Time) *PooledConn {
 	for {
-		at := -1
+		at, best := -1, 0
 		for i, c := range p.idle {
-			if c.tenant == w.tenant && (at < 0 || c.session == session || p.idle[at].session != session) {
-				at = i
+			if fit := c.fit(w, session); fit > 0 && fit >= best {
+				at, best = i, fit
 			}
 		}
 		if at < 0 && w.control {
@@ -305,6 +313,21 @@
 	}
 }
 
+// fit returns how well an idle connection suits a request of a session, 0 if it can't be used:
+// one that has the values of the session saves a round trip.
+func (c *PooledConn) fit(w *waiter, session uint64) int {
+	switch {
+	case c.tenant != w.tenant:
+		return 0
+	case !c.hasValues(w.values):
+		return 1
+	case c.session != session:
+		return 2
+	default:
+		return 3
+	}
+}
+
 // removeIdle removes the idle connection at an index and returns it. p.mu must be held.
 func (p *Pool) removeIdle(at int) *PooledConn {
 	c := p.idle[at]
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -104,6 +104,48 @@
 	})
 }
 
+// Guards against a round trip for the values of a session that another idle connection has.
+func TestIdleConnectionWithValues(t *testing.T) {
+	Convey("Given two idle connections, of which the one used last has values", t, func() {
+		target := NewTarget(catalog.Target{ID: "i-1", Slots: 2}, &cappedDialer{free: 2})
+		target.Pool.SetLimits(1, 2)
+		soon := func() time.Time { return time.Now().Add(time.Second) }
+		acquire := func(session uint64, values map[string]string) *PooledConn {
+			c, verdict := target.Pool.AcquireWithValues("", session, values, 0, soon())
+			So(verdict, ShouldEqual, Acquired)
+			return c
+		}
+		var wg sync.WaitGroup
+		conns := make([]*PooledConn, 2)
+		for i := range conns {
+			wg.Go(func() { conns[i], _ = target.Pool.Acquire(3, 0, soon()) })
+		}
+		wg.Wait()
+		clean, used := conns[0], conns[1]
+		clean.session, used.session = 1, 2
+		used.values = map[string]string{"schema": "a"}
+		target.Pool.Release(clean)
+		target.Pool.Release(used)
+
+		Convey("a session without values gets the other one", func() {
+			So(acquire(7, nil), ShouldEqual, clean)
+		})
+		Convey("a session with these values gets it, and one with other values gets the last one too", func() {
+			So(acquire(7, map[string]string{"schema": "a"}), ShouldEqual, used)
+			target.Pool.Release(used)
+			So(acquire(7, map[string]string{"schema": "b"}), ShouldEqual, used)
+		})
+		Convey("a connection whose values are not known has none that a session wants", func() {
+			clean.values = nil
+			So(acquire(7, nil), ShouldEqual, used)
+		})
+		Convey("of two with the same values a session gets the one that it used last", func() {
+			used.values = map[string]string{}
+			So(acquire(1, nil), ShouldEqual, clean)
+		})
+	})
+}
+
 // Guards against connections that are kept for nobody: before a failure of power the targets
 // had 15 or 16 of 16 connections, most of them idle, some at daemons that were no longer
 // home, and counted them for 3 s after it, so that the restarted homes found no room.
--- a/internal/executor/acquire.go
+++ b/internal/executor/acquire.go
@@ -110,7 +110,7 @@
 		return nil, backend.Overloaded
 	}
 	r.gate = t.Gate
-	conn, verdict := t.Pool.AcquireFor(r.unit.header.Tenant, r.unit.header.Session, r.route.Priority, r.queueDeadline)
+	conn, verdict := t.Pool.AcquireWithValues(r.unit.header.Tenant, r.unit.header.Session, r.environment.Values, r.route.Priority, r.queueDeadline)
 	if verdict == backend.Acquired && !time.Now().Before(r.deadline) {
 		// A statement that times out after it was sent costs its connection.
 		t.Pool.Release(conn)
