Promote only targets that have joined the present term, for 10 s

Cause: the candidate was the target in reach with the longest log, whatever term it had joined.

Change: a candidate must have joined the newest term that a promote call may have led to. While none in reach has, the promotion is put off before anything is written or held; after 10 s it goes on as before, since a change of primary shall be over within 13 s. Of the candidates the later joined term goes before the longer log.

TestOutdatedTargetIsNotPromoted fails without the wait.

--- a/internal/failover/intent.go
+++ b/internal/failover/intent.go
@@ -29,6 +29,15 @@
 	return slices.Contains(r.UnusedIntents, group)
 }
 
+// reachedTerm returns the highest term to which a promote call for the group may have led, 0 if
+// there was none.
+func (r lockRecord) reachedTerm(group string) position.Term {
+	if term := r.Intents[group]; term > 0 && r.isUnused(group) {
+		return term - 1
+	}
+	return r.Intents[group]
+}
+
 // withUnused returns the record with the intent of the group marked as unused or used.
 func (r lockRecord) withUnused(group string, unused bool) lockRecord {
 	if unused == r.isUnused(group) {
@@ -64,6 +73,22 @@
 	return r.withUnused(group, r.Intents[group] > term)
 }
 
+// ReachedTerm returns the highest term to which a promote call for the group may have led, 0 if
+// there was none. A daemon that does not hold the lock reads the record from the store, unless
+// it has done so a moment ago.
+func (m *LockManager) ReachedTerm(ctx context.Context, group string) (position.Term, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holdsLock() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		if err := m.refresh(ctx); err != nil {
+			return 0, err
+		}
+	}
+	return m.record.reachedTerm(group), nil
+}
+
 // MarkUnused records that every promote call since the last Acquire for the group is known to
 // have had no effect. It does nothing if d is not the current lock.
 func (m *LockManager) MarkUnused(ctx context.Context, d PromotionLock, group string) error {
--- a/internal/failover/intent_test.go
+++ b/internal/failover/intent_test.go
@@ -100,6 +100,49 @@
 	})
 }
 
+func TestReachedTerm(t *testing.T) {
+	ctx := context.Background()
+	reached := func(m *LockManager) position.Term {
+		term, err := m.ReachedTerm(ctx, "g")
+		So(err, ShouldBeNil)
+		return term
+	}
+	Convey("The reached term is that of the last promote call that may have had an effect", t, func() {
+		s := newFakeStore()
+		c := &fakeClock{now: time.Hour}
+		a, b := c.newManager(s, "a"), c.newManager(s, "b")
+		So(a.Claim(ctx, true), ShouldBeNil)
+		So(reached(a), ShouldEqual, position.Term(0))
+		d, err := a.Acquire(ctx, "g", 2, 0)
+		So(err, ShouldBeNil)
+		So(reached(a), ShouldEqual, position.Term(1))
+		So(a.Verify(ctx, d, "g"), ShouldBeNil)
+		for _, m := range []*LockManager{a, b} {
+			So(reached(m), ShouldEqual, position.Term(2))
+		}
+		_, err = a.Acquire(ctx, "g", 2, 0)
+		So(err, ShouldBeNil)
+		So(reached(a), ShouldEqual, position.Term(2))
+		c.advance(recheckAfter)
+		s.down = true
+		_, err = b.ReachedTerm(ctx, "g")
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A term at which targets are held, and that none has joined, was not reached in an earlier era", t, func() {
+		s := newFakeStore()
+		c := &fakeClock{now: time.Hour}
+		b := c.newManager(s, "b")
+		b.SetSettler(func(context.Context, []string) Settlement {
+			return Settlement{Terms: map[string]position.Term{"g": 3, "h": 3}, OnlyHeld: []string{"g"}}
+		})
+		claimUntilHeld(c, b)
+		So(reached(b), ShouldEqual, position.Term(2))
+		term, err := b.ReachedTerm(ctx, "h")
+		So(err, ShouldBeNil)
+		So(term, ShouldEqual, position.Term(3))
+	})
+}
+
 // intentModel is a state of the model of TestIntentModel: one group, two daemons that may hold
 // the promotion lock, and the platform, on which a promote call raises the term by one.
 type intentModel struct {
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -103,7 +103,9 @@
 	// demoted, nil if not.
 	oldEnd *position.Position
 	term   position.Term
-	lock   PromotionLock
+	// minTerm is the term that a target must have joined to be promoted.
+	minTerm position.Term
+	lock    PromotionLock
 }
 
 // Promote makes another target the primary of g, for the given reason; since is how long
@@ -115,8 +117,15 @@
 		// The request was met before this daemon knew of it.
 		return nil
 	}
+	minTerm, err := p.minTerm(ctx, g, since)
 	term := max(g.JoinedTerm()+1, g.RequestedTerm())
-	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term}
+	if err != nil {
+		if !p.HoldsLock() {
+			err = errors.Join(err, p.requestPromotion(ctx, g, reason, term, since))
+		}
+		return err
+	}
+	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, minTerm: minTerm}
 	lock, err := p.PromotionLock.Acquire(ctx, g.Name, term, since)
 	if err != nil {
 		if errors.Is(err, ErrOtherHolder) {
@@ -351,7 +360,7 @@
 // target is not running. It returns the ID of the promoted target. If it fails without a call
 // that may have had an effect, it records that.
 func (a *attempt) promoteBest(ctx context.Context, observed []leadership.Observation) (string, error) {
-	candidates := leadership.Candidates{Targets: observed, Except: map[string]bool{}, SyncReplicas: a.group.Limits().SyncReplicas, Prefer: a.isNearer}
+	candidates := leadership.Candidates{Targets: observed, Except: map[string]bool{}, MinTerm: a.minTerm, SyncReplicas: a.group.Limits().SyncReplicas, Prefer: a.isNearer}
 	if id := a.oldID(); id != "" {
 		candidates.Except[id] = true
 	}
--- a/internal/failover/settlement.go
+++ b/internal/failover/settlement.go
@@ -16,6 +16,9 @@
 	// Terms maps each group of which every target answered to the highest term that one has
 	// joined or is held at.
 	Terms map[string]position.Term
+	// OnlyHeld names the groups of Terms of which no target has joined that term: nothing was
+	// promoted to it.
+	OnlyHeld []string
 	// Unsettled names the groups of which a target did not answer: it may have been
 	// promoted.
 	Unsettled []string
@@ -39,8 +42,8 @@
 	}
 	s := m.settle(ctx, groups)
 	next.Intents = raiseIntents(next.Intents, s.Terms)
-	for group := range s.Terms {
-		*next = next.withUnused(group, false)
+	for group, term := range s.Terms {
+		*next = next.withUnused(group, next.Intents[group] == term && slices.Contains(s.OnlyHeld, group))
 	}
 	next.Unsettled = s.Unsettled
 }
@@ -68,25 +71,30 @@
 // list of targets is complete and all of them answered.
 func SettleGroups(ctx context.Context, groups []*backend.Group) Settlement {
 	type result struct {
-		group   string
-		term    position.Term
-		settled bool
+		group             string
+		term              position.Term
+		onlyHeld, settled bool
 	}
 	results := make(chan result, len(groups))
 	for _, g := range groups {
 		go func() {
 			observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
-			g.ObserveJoinedTerm(leadership.JoinedTerm(observed))
+			joined, highest := leadership.JoinedTerm(observed), leadership.HighestTerm(observed)
+			g.ObserveJoinedTerm(joined)
 			silent := slices.ContainsFunc(observed, func(o leadership.Observation) bool { return !o.Reached })
-			results <- result{group: g.Name, term: leadership.HighestTerm(observed), settled: !silent && g.ListComplete()}
+			results <- result{group: g.Name, term: highest, onlyHeld: highest > joined, settled: !silent && g.ListComplete()}
 		}()
 	}
 	s := Settlement{Terms: map[string]position.Term{}}
 	for range groups {
-		if r := <-results; r.settled {
-			s.Terms[r.group] = r.term
-		} else {
+		r := <-results
+		if !r.settled {
 			s.Unsettled = append(s.Unsettled, r.group)
+			continue
+		}
+		s.Terms[r.group] = r.term
+		if r.onlyHeld {
+			s.OnlyHeld = append(s.OnlyHeld, r.group)
 		}
 	}
 	slices.Sort(s.Unsettled)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -151,21 +151,25 @@
 	Targets []Observation
 	// Except names targets that must not be promoted.
 	Except map[string]bool
+	// MinTerm is the term that a target must have joined to be promoted.
+	MinTerm position.Term
 	// SyncReplicas is the number of replicas that receive a commit before it is acknowledged.
 	SyncReplicas int
 	// Prefer reports whether x is preferred to y, which has the same log.
 	Prefer func(x, y string) bool
 }
 
-// Select returns the ID of the target to promote: the one with the longest log among those
-// that were reached and are not excepted. Draining targets are passed over, unless commits are
+// Select returns the ID of the target to promote: among those that were reached, have joined
+// MinTerm and are not excepted, the one that has joined the latest term, and among these the
+// one with the longest log. The log of a target that has not joined a term may end in commits
+// that the promotion to that term has rolled back. Draining targets are passed over, unless commits are
 // acknowledged only after replicas received them: then a draining target may be the only one
 // that has them, and is passed over only for one with the same log. It reports false if there
 // is none.
 func (c Candidates) Select() (string, bool) {
 	best := -1
 	for i, t := range c.Targets {
-		if !t.Reached || c.Except[t.ID] || t.Draining && c.SyncReplicas == 0 {
+		if !t.Reached || c.Except[t.ID] || t.Status.Term < c.MinTerm || t.Draining && c.SyncReplicas == 0 {
 			continue
 		}
 		if best < 0 || c.better(t, c.Targets[best]) {
@@ -182,6 +186,8 @@
 func (c Candidates) better(x, y Observation) bool {
 	order := x.Status.Received.Compare(y.Status.Received)
 	switch {
+	case x.Status.Term != y.Status.Term:
+		return x.Status.Term > y.Status.Term
 	case order != 0:
 		return order > 0
 	case x.Draining != y.Draining:
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -319,6 +319,51 @@
 	return lost
 }
 
+// Guards against reads that turn out to have missed commits: a target that had not joined the
+// term of a lost primary was promoted, and commits that the promotion to that term had rolled
+// back returned.
+func TestOutdatedTargetIsNotPromoted(t *testing.T) {
+	Convey("Given a primary of term 2 and a target that has not joined this term", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		c := tc.connect(tc.nodes[1], dbCurrent)
+		So(c.Query("WRITE first kept").OK(), ShouldBeTrue)
+		time.Sleep(50 * time.Millisecond) // replication
+		tc.group.SetPartitioned(2, true)
+		So(c.Query("WRITE second kept").OK(), ShouldBeTrue)
+		time.Sleep(50 * time.Millisecond)
+		tc.group.Crash(0)
+		writeInNewTerm(tc, c, "third", 1)
+		primary, _ := tc.group.Primary()
+		So(primary, ShouldEqual, 1)
+
+		Convey("the primary is waited for while it is away, and serves when it is back", func() {
+			tc.group.Crash(1)
+			away := time.Now()
+			for time.Since(away) < 5*time.Second {
+				So(c.Query("WRITE away x").OK(), ShouldBeFalse)
+				time.Sleep(100 * time.Millisecond)
+			}
+			So(tc.promotionServer.Calls(), ShouldHaveLength, 1)
+			So(tc.group.Restart(1), ShouldBeNil)
+			tc.eventually(2*time.Second, "the primary serves again", func() bool { return c.Query("WRITE fourth kept").OK() })
+			for _, item := range []string{"first", "second"} {
+				So(c.Query("READ "+item).Rows, ShouldResemble, []string{"kept"})
+			}
+		})
+		Convey("the outdated target is promoted when nothing else has come for long", func() {
+			tc.group.Crash(1)
+			away := time.Now()
+			tc.eventually(13*time.Second, "the outdated target serves", func() bool { return c.Query("WRITE away x").OK() })
+			So(time.Since(away), ShouldBeGreaterThan, outdatedTargetWait)
+			checkSingleHolder(tc)
+		})
+	})
+}
+
+// outdatedTargetWait is how long at least a target that has not joined the present term is not
+// promoted.
+const outdatedTargetWait = 10 * time.Second
+
 // Guards against the loss of acknowledged commits: the only replica that had received them was
 // draining, and another one was promoted.
 func TestDrainingReplicaHasCommits(t *testing.T) {
--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -214,6 +214,22 @@
 	_ = t.listener.Close()
 }
 
+// Restart starts target i again at its address after a crash, with the log, the term and the
+// role that it had. It returns an error if it cannot listen there.
+func (g *Group) Restart(i int) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.Targets[i]
+	l, err := net.Listen("tcp4", t.Address)
+	if err != nil {
+		return err
+	}
+	t.listener, t.down = l, false
+	g.publish(t)
+	go t.accept(l)
+	return nil
+}
+
 // SetPartitioned sets whether target i is separated from the other targets. Callers
 // still reach it.
 func (g *Group) SetPartitioned(i int, partitioned bool) {
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -81,15 +81,15 @@
 		return err
 	}
 	t.Address = t.listener.Addr().String()
-	go t.accept()
+	go t.accept(t.listener)
 	return nil
 }
 
 // accept serves connections until the listener closes. It refuses those over the
 // connection limit.
-func (t *Target) accept() {
+func (t *Target) accept(l net.Listener) {
 	for {
-		c, err := t.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
