Limit the bytes of the session state

Cause: the bounds of a session counted entries, not bytes.

Change: 4 MiB a session, and a quarter of the memory in the settings for all sessions of a daemon. What does not fit is refused, and nothing is kept.

TestSizeOfSessionState is new.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -79,6 +79,8 @@
 	Confirmation *catalog.Confirmation
 	// Tenants counts the operations and refusals of tenants; it may be nil.
 	Tenants *requestmetrics.Tenants
+	// State limits the memory for the state of all sessions; nil means no limit.
+	State *StateBudget
 	// Wrap returns the Conn for an accepted connection.
 	Wrap func(net.Conn) Conn
 
@@ -132,6 +134,7 @@
 		delete(s.sessions, ses)
 		s.mu.Unlock()
 		ses.state.endTransaction()
+		ses.state.releaseState()
 	}()
 	endReason := s.run(ses)
 	s.Log.Success("session_ended", "session", ses.state.ID, "database", ses.state.Database, "reason", endReason.Error())
@@ -208,7 +211,7 @@
 	return &Session{
 		ID: s.SessionBase + lastSessionNumber.Add(1), Database: database, key: key,
 		quota: s.Quota, tenants: s.Tenants, confirmation: s.Confirmation,
-		configuration: s.Configuration, homes: s.Homes, log: s.Log,
+		configuration: s.Configuration, homes: s.Homes, log: s.Log, budget: s.State,
 		environment: query.Environment{Values: map[string]string{}, Prepared: map[string]query.Prepared{}},
 	}
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -25,7 +25,7 @@
 	OtherDomainOpeners(group string) []stmtunit.Opener
 }
 
-// Limits of the state of one session.
+// Limits on the entries of the state of one session.
 const (
 	maxValues   = 256
 	maxPrepared = 1024
@@ -49,6 +49,9 @@
 	log           *eventlog.Log
 
 	environment query.Environment
+	// stateBytes is the size of environment that is taken from budget.
+	stateBytes int64
+	budget     *StateBudget
 	// lastCommit is the end of the log after the session's last commit, and lastCommitAt
 	// is when that was received, as time since boot.
 	lastCommit   position.Position
@@ -133,19 +136,12 @@
 func (s *Session) runLocal(st query.Statement) query.Answer {
 	switch st.Kind {
 	case query.Set:
-		if _, known := s.environment.Values[st.Name]; !known && len(s.environment.Values) >= maxValues {
-			return query.Failure(query.Bad, s.state(), "too many session values")
-		}
-		s.environment.Values[st.Name] = st.Value
+		return s.setValue(st)
 	case query.Prepare:
-		if _, known := s.environment.Prepared[st.Name]; !known && len(s.environment.Prepared) >= maxPrepared {
-			return query.Failure(query.Bad, s.state(), "too many prepared statements")
-		}
-		s.environment.Prepared[st.Name] = query.Prepared{Shape: st.Value, Writes: st.Writes}
-	case query.Forget:
-		delete(s.environment.Prepared, st.Name)
+		return s.prepare(st)
+	default:
+		return s.forget(st)
 	}
-	return query.Success(s.state())
 }
 
 // begin opens a transaction. Its unit is opened with the first statement.
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -220,3 +221,41 @@
 		So(s.Run(query.Statement{Kind: query.Set, Name: "1", Value: "again"}, 0).OK(), ShouldBeTrue)
 	})
 }
+
+// Guards against a daemon that exceeds its memory: one session could keep 1,024 prepared
+// statements of 1 MB.
+func TestSizeOfSessionState(t *testing.T) {
+	text := strings.Repeat("q", 1<<20-100)
+	run := func(s *Session, k query.Kind, name, value string) query.Code {
+		return s.Run(query.Statement{Kind: k, Name: name, Value: value}, 0).Code
+	}
+	Convey("The state of one session has a largest size, and keeps what fits", t, func() {
+		s := newTestSession(&fakeHome{})
+		for i := range 4 {
+			So(run(s, query.Prepare, fmt.Sprint(i), text), ShouldEqual, query.OK)
+		}
+		So(run(s, query.Prepare, "4", text), ShouldEqual, query.Bad)
+		So(run(s, query.Set, "value", text), ShouldEqual, query.Bad)
+		So(run(s, query.Prepare, "3", text), ShouldEqual, query.OK)
+		So(run(s, query.Forget, "0", ""), ShouldEqual, query.OK)
+		So(run(s, query.Set, "value", text), ShouldEqual, query.OK)
+	})
+	Convey("The state of all sessions has a part of the memory, and gives it back when they end", t, func() {
+		budget := NewStateBudget(20 << 20)
+		first, second := newTestSession(&fakeHome{}), newTestSession(&fakeHome{})
+		first.budget, second.budget = budget, budget
+		for i := range 4 {
+			So(run(first, query.Prepare, fmt.Sprint(i), text), ShouldEqual, query.OK)
+		}
+		So(run(second, query.Set, "a", text), ShouldEqual, query.OK)
+		So(run(second, query.Set, "b", text), ShouldEqual, query.Busy)
+		So(run(second, query.Set, "b", "small"), ShouldEqual, query.OK)
+		first.releaseState()
+		So(run(second, query.Set, "b", text), ShouldEqual, query.OK)
+		second.releaseState()
+		So(budget.used.Load(), ShouldEqual, int64(0))
+	})
+	Convey("A VM without a limit on its memory has no such budget", t, func() {
+		So(NewStateBudget(0).add(1<<40), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/frontend/statelimit.go
@@ -0,0 +1,118 @@
+package frontend
+
+import (
+	"sync/atomic"
+
+	"github.com/laburnumrack/laburnumrack/internal/query"
+)
+
+// Limits on the bytes of the session state, besides those on its entries.
+const (
+	// maxSessionState is the size in bytes of the values and prepared statements of one
+	// session. A message of a caller may have 1 MiB.
+	maxSessionState = 4 << 20
+	// stateMemoryShare is the part of the memory of a VM that the state of all sessions may
+	// take.
+	stateMemoryShare = 0.25
+	// entryOverhead is the size in bytes that an entry of the state counts besides its texts.
+	entryOverhead = 64
+)
+
+// reasonStateFull is the reason of a refusal for want of memory for the session state.
+const reasonStateFull = "session_state_full"
+
+// StateBudget limits the bytes of the state of all sessions of a daemon. A nil budget has no
+// limit. It is safe for concurrent use.
+type StateBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewStateBudget returns the budget of a VM with the given memory in bytes, nil if that is not
+// known.
+func NewStateBudget(memory int64) *StateBudget {
+	if memory <= 0 {
+		return nil
+	}
+	return &StateBudget{limit: int64(stateMemoryShare * float64(memory))}
+}
+
+// add adds a number of bytes, which may be negative, and reports whether the budget allows it.
+func (b *StateBudget) add(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(bytes) > b.limit && bytes > 0 {
+		b.used.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+// resizeState accounts for a change of the size of the session's state. If that is too large,
+// it returns the refusal and false, and the change must not be made.
+func (s *Session) resizeState(st query.Statement, bytes int64) (query.Answer, bool) {
+	if bytes > 0 && s.stateBytes+bytes > maxSessionState {
+		return query.Failure(query.Bad, s.state(), "the session state is too large"), false
+	}
+	if !s.budget.add(bytes) {
+		return s.refuse(st, query.Busy, reasonStateFull), false
+	}
+	s.stateBytes += bytes
+	return query.Answer{}, true
+}
+
+// releaseState returns the bytes of the session's state to the budget when the session ends.
+func (s *Session) releaseState() {
+	s.budget.add(-s.stateBytes)
+	s.stateBytes = 0
+}
+
+// entrySize returns the size in bytes of an entry of the state.
+func entrySize(name, text string) int64 {
+	return int64(len(name) + len(text) + entryOverhead)
+}
+
+// setValue sets a session value.
+func (s *Session) setValue(st query.Statement) query.Answer {
+	old, known := s.environment.Values[st.Name]
+	if !known && len(s.environment.Values) >= maxValues {
+		return query.Failure(query.Bad, s.state(), "too many session values")
+	}
+	growth := entrySize(st.Name, st.Value)
+	if known {
+		growth -= entrySize(st.Name, old)
+	}
+	if refusal, ok := s.resizeState(st, growth); !ok {
+		return refusal
+	}
+	s.environment.Values[st.Name] = st.Value
+	return query.Success(s.state())
+}
+
+// prepare keeps a prepared statement.
+func (s *Session) prepare(st query.Statement) query.Answer {
+	old, known := s.environment.Prepared[st.Name]
+	if !known && len(s.environment.Prepared) >= maxPrepared {
+		return query.Failure(query.Bad, s.state(), "too many prepared statements")
+	}
+	growth := entrySize(st.Name, st.Value)
+	if known {
+		growth -= entrySize(st.Name, old.Shape)
+	}
+	if refusal, ok := s.resizeState(st, growth); !ok {
+		return refusal
+	}
+	s.environment.Prepared[st.Name] = query.Prepared{Shape: st.Value, Writes: st.Writes}
+	return query.Success(s.state())
+}
+
+// forget drops a prepared statement, if there is one of that name.
+func (s *Session) forget(st query.Statement) query.Answer {
+	if old, known := s.environment.Prepared[st.Name]; known {
+		// A smaller state is never refused.
+		_, _ = s.resizeState(st, -entrySize(st.Name, old.Shape))
+		delete(s.environment.Prepared, st.Name)
+	}
+	return query.Success(s.state())
+}
