--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -107,8 +108,10 @@
 	now := boottime.Now()
 	if g.RequestedTerm() > g.JoinedTerm() {
 		m.health.observeRequest(now)
-		m.promote(ctx, leadership.Requested)
-		return
+		if err := m.promote(ctx, leadership.Requested); !errors.Is(err, leadership.ErrNoSuccessor) {
+			return
+		}
+		// The present primary may be in reach of this daemon.
 	}
 	if m.lastFound.ID == "" && m.checkListedPrimary(ctx) {
 		return
@@ -133,7 +136,8 @@
 	}
 	reason := leadership.PromotionDue(m.observations, m.lastLeader(), g.KnownTerm(), m.health.leaderlessFor(now), leadership.DefaultPolicy)
 	if reason != leadership.NotNeeded {
-		m.promote(ctx, reason)
+		// The next check tries again after an error.
+		_ = m.promote(ctx, reason)
 	}
 }
 
@@ -150,18 +154,21 @@
 }
 
 // promote has another target promoted, unless the list of targets may be incomplete: an
-// unlisted target may be the leader or have commits that the listed ones lack.
-func (m *monitor) promote(ctx context.Context, reason leadership.Reason) {
+// unlisted target may be the leader or have commits that the listed ones lack. It logs an
+// error and returns it.
+func (m *monitor) promote(ctx context.Context, reason leadership.Reason) error {
 	g := m.group
 	if !g.listComplete() {
-		return
+		return nil
 	}
 	since := m.health.unhealthyFor(boottime.Now())
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	if err := g.Promoter.Promote(ctx, g, reason, since); err != nil {
+	err := g.Promoter.Promote(ctx, g, reason, since)
+	if err != nil {
 		g.Log.StateChange("promotion_failed", "group", g.Name, "reason", string(reason), "since_ms", since.Milliseconds(), "error", err.Error())
 	}
+	return err
 }
 
 // checkListedPrimary queries the targets that are listed as primary and are not failing,
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -117,14 +117,18 @@
 		// The request was met before this daemon knew of it.
 		return nil
 	}
-	minTerm, err := p.minTerm(ctx, g, since)
 	term := max(g.JoinedTerm()+1, g.RequestedTerm())
+	minTerm, err := p.minTerm(ctx, g, since)
 	if err != nil {
 		if !p.HoldsLock() {
 			err = errors.Join(err, p.requestPromotion(ctx, g, reason, term, since))
 		}
 		return err
 	}
+	// A term that was not known when the promotion became due may have met the need.
+	if err := checkNotJoined(g, term); err != nil {
+		return err
+	}
 	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, minTerm: minTerm}
 	lock, err := p.PromotionLock.Acquire(ctx, g.Name, term, since)
 	if err != nil {
@@ -219,8 +223,13 @@
 // checkTerm returns an error if a target has joined the term of the attempt or a later one: a
 // promotion might lead to a term above the intent recorded in the store.
 func (a *attempt) checkTerm() error {
-	if joined := a.group.JoinedTerm(); joined >= a.term {
-		return fmt.Errorf("term %d of group %s has already been joined", joined, a.group.Name)
+	return checkNotJoined(a.group, a.term)
+}
+
+// checkNotJoined returns an error if a target of the group has joined the term or a later one.
+func checkNotJoined(g *backend.Group, term position.Term) error {
+	if joined := g.JoinedTerm(); joined >= term {
+		return fmt.Errorf("term %d of group %s has already been joined", joined, g.Name)
 	}
 	return nil
 }
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,11 +18,8 @@
 // promotion itself takes the rest of that time.
 const outdatedAfter = 10 * time.Second
 
-// ErrNoSuccessor means that no target in reach has joined the term that is to be replaced.
-var ErrNoSuccessor = errors.New("no target in reach has joined the present term")
-
 // minTerm returns the term that a target must have joined to be promoted, when a promotion has
-// been needed for the given time, and returns ErrNoSuccessor if no target in reach has joined
+// been needed for the given time, and returns leadership.ErrNoSuccessor if no target in reach has joined
 // it. The log of a target that has not joined a term may end in commits that the promotion to
 // that term has rolled back: they would return, and reads of that term would turn out to have
 // missed them. The primary of the term, or a target that follows it, mostly returns in some
@@ -37,21 +32,21 @@
 	if err != nil {
 		return 0, err
 	}
-	oldID := ""
-	if old := knownPrimary(g); old != nil {
-		oldID = old.Info().ID
-	}
+	old := knownPrimary(g)
 	present := func() position.Term { return max(g.JoinedTerm(), reached) }
-	joined := func(seen []leadership.Observation) bool {
-		return slices.ContainsFunc(seen, func(o leadership.Observation) bool {
-			return o.Reached && o.ID != oldID && o.Status.Term >= present()
-		})
+	hasSuccessor := func(seen []leadership.Observation) bool {
+		c := leadership.Candidates{Targets: seen, Except: leadership.PrimariesOf(seen, present()), MinTerm: present(), SyncReplicas: g.Limits().SyncReplicas}
+		if old != nil {
+			c.Except[old.Info().ID] = true
+		}
+		_, ok := c.Select()
+		return ok
 	}
-	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, joined)
+	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, hasSuccessor)
 	g.ObserveJoinedTerm(leadership.JoinedTerm(observed))
-	if joined(observed) {
+	if hasSuccessor(observed) {
 		return present(), nil
 	}
 	metrics.GetOrCreateCounter(`laburnumrack_promotions_delayed_total{reason="no_successor"}`).Inc()
-	return 0, fmt.Errorf("%w: group %s, term %d", ErrNoSuccessor, g.Name, present())
+	return 0, fmt.Errorf("%w: group %s, term %d", leadership.ErrNoSuccessor, g.Name, present())
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -10,6 +10,7 @@
 package leadership
 
 import (
+	"errors"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/position"
@@ -145,6 +146,9 @@
 	return NotNeeded
 }
 
+// ErrNoSuccessor means that no target in reach has joined the term that is to be replaced.
+var ErrNoSuccessor = errors.New("no target in reach has joined the present term")
+
 // Candidates are the targets of which one is promoted.
 type Candidates struct {
 	// Targets are the held targets.
@@ -155,17 +159,18 @@
 	MinTerm position.Term
 	// SyncReplicas is the number of replicas that receive a commit before it is acknowledged.
 	SyncReplicas int
-	// Prefer reports whether x is preferred to y, which has the same log.
+	// Prefer reports whether x is preferred to y, which has the same log; nil if neither is.
 	Prefer func(x, y string) bool
 }
 
 // Select returns the ID of the target to promote: among those that were reached, have joined
 // MinTerm and are not excepted, the one that has joined the latest term, and among these the
 // one with the longest log. The log of a target that has not joined a term may end in commits
-// that the promotion to that term has rolled back. Draining targets are passed over, unless commits are
-// acknowledged only after replicas received them: then a draining target may be the only one
-// that has them, and is passed over only for one with the same log. It reports false if there
-// is none.
+// that the promotion to that term has rolled back.
+//
+// Draining targets are passed over, unless commits are acknowledged only after replicas
+// received them: then a draining target may be the only one that has them, and is passed over
+// only for one with the same log. Select reports false if there is no target.
 func (c Candidates) Select() (string, bool) {
 	best := -1
 	for i, t := range c.Targets {
@@ -193,8 +198,19 @@
 	case x.Draining != y.Draining:
 		return y.Draining
 	default:
-		return c.Prefer(x.ID, y.ID)
+		return c.Prefer != nil && c.Prefer(x.ID, y.ID)
+	}
+}
+
+// PrimariesOf returns the IDs of the targets that lead the given term or a later one.
+func PrimariesOf(targets []Observation, term position.Term) map[string]bool {
+	ids := map[string]bool{}
+	for _, t := range targets {
+		if t.Reached && t.Status.Primary && t.Status.Term >= term {
+			ids[t.ID] = true
+		}
 	}
+	return ids
 }
 
 // HoldsSuffice reports whether enough replicas are held to promote one: every target
