Don't wait for the primary of a term that a promote call did not lead to

After a promote call without an answer and without effect, for example while the platform was cut off, the next attempt would have waited for a target that had joined the intended term, up to 10 s. Found by reading.

Change: the write before a call names its target. If that target answers and has not joined the term, the call has had no effect so far, and the present term is the one before.

--- a/internal/failover/intent.go
+++ b/internal/failover/intent.go
@@ -51,6 +51,18 @@
 	return r
 }
 
+// withCall returns the record before a promote call for a target of the group, which uses the
+// intent.
+func (r lockRecord) withCall(group, target string) lockRecord {
+	called := maps.Clone(r.Called)
+	if called == nil {
+		called = map[string]string{}
+	}
+	called[group] = target
+	r.Called = called
+	return r.withUnused(group, false)
+}
+
 // withIntent returns the record with an unused intent for one more promote call. term is the
 // one to which the call leads as far as the targets in reach tell.
 func (r lockRecord) withIntent(group string, term position.Term) lockRecord {
@@ -74,19 +86,19 @@
 }
 
 // ReachedTerm returns the highest term to which a promote call for the group may have led, 0 if
-// there was none. A daemon that does not hold the lock reads the record from the store, unless
-// it has done so a moment ago.
-func (m *LockManager) ReachedTerm(ctx context.Context, group string) (position.Term, error) {
+// there was none, and the target of the last call, empty if it is not known. A daemon that
+// does not hold the lock reads the record from the store, unless it has done so a moment ago.
+func (m *LockManager) ReachedTerm(ctx context.Context, group string) (term position.Term, called string, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.holdsLock() {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		if err := m.refresh(ctx); err != nil {
-			return 0, err
+			return 0, "", err
 		}
 	}
-	return m.record.reachedTerm(group), nil
+	return m.record.reachedTerm(group), m.record.Called[group], nil
 }
 
 // MarkUnused records that every promote call since the last Acquire for the group is known to
--- a/internal/failover/intent_test.go
+++ b/internal/failover/intent_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/position"
+	"github.com/laburnumrack/laburnumrack/internal/query"
 )
 
 // intendedTerm returns the intent for group g in the store.
@@ -32,19 +34,19 @@
 		So(intendedTerm(b), ShouldEqual, position.Term(2))
 
 		Convey("the next holder intends the term after it if a call may have been made", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("the same holder does too if its call has not been answered", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			_, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("a verification whose answer is lost counts as one before a call", func() {
 			s.lostAnswers = 1
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
@@ -53,13 +55,13 @@
 			So(intendedTerm(b), ShouldEqual, position.Term(2))
 		})
 		Convey("the term is intended again if no call had an effect", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			So(a.MarkUnused(ctx, d, "g"), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(2))
 		})
 		Convey("a withdrawn intent leaves that of the last call", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			d, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
 			So(a.Withdraw(ctx, d, "g"), ShouldBeNil)
@@ -67,17 +69,17 @@
 			So(a.Withdraw(ctx, d, "g"), ShouldNotBeNil)
 		})
 		Convey("an intent above the term that was reached covers the next call", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			d, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			So(a.MarkPromoted(ctx, d, "g", 2), ShouldBeNil)
 			_, err = a.Acquire(ctx, "g", 3, 0)
 			So(err, ShouldBeNil)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("a promotion to the intended term costs no call to the store", func() {
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			puts := s.puts
 			So(a.MarkPromoted(ctx, d, "g", 2), ShouldBeNil)
 			So(s.puts, ShouldEqual, puts)
@@ -92,7 +94,7 @@
 		})
 		Convey("what a copy of the store tells of unused intents does not count in the next era", func() {
 			copied := s.copyOf()
-			So(a.Verify(ctx, d, "g"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 			s.restore(copied)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
@@ -103,7 +105,7 @@
 func TestReachedTerm(t *testing.T) {
 	ctx := context.Background()
 	reached := func(m *LockManager) position.Term {
-		term, err := m.ReachedTerm(ctx, "g")
+		term, _, err := m.ReachedTerm(ctx, "g")
 		So(err, ShouldBeNil)
 		return term
 	}
@@ -116,16 +118,19 @@
 		d, err := a.Acquire(ctx, "g", 2, 0)
 		So(err, ShouldBeNil)
 		So(reached(a), ShouldEqual, position.Term(1))
-		So(a.Verify(ctx, d, "g"), ShouldBeNil)
+		So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 		for _, m := range []*LockManager{a, b} {
 			So(reached(m), ShouldEqual, position.Term(2))
+			_, called, err := m.ReachedTerm(ctx, "g")
+			So(err, ShouldBeNil)
+			So(called, ShouldEqual, "t")
 		}
 		_, err = a.Acquire(ctx, "g", 2, 0)
 		So(err, ShouldBeNil)
 		So(reached(a), ShouldEqual, position.Term(2))
 		c.advance(recheckAfter)
 		s.down = true
-		_, err = b.ReachedTerm(ctx, "g")
+		_, _, err = b.ReachedTerm(ctx, "g")
 		So(err, ShouldNotBeNil)
 	})
 	Convey("A term at which targets are held, and that none has joined, was not reached in an earlier era", t, func() {
@@ -137,12 +142,28 @@
 		})
 		claimUntilHeld(c, b)
 		So(reached(b), ShouldEqual, position.Term(2))
-		term, err := b.ReachedTerm(ctx, "h")
+		term, _, err := b.ReachedTerm(ctx, "h")
 		So(err, ShouldBeNil)
 		So(term, ShouldEqual, position.Term(3))
 	})
 }
 
+// Guards against a wait for the primary of a term to which nothing was promoted, after a promote
+// call that was not answered and had no effect.
+func TestPresentTerm(t *testing.T) {
+	seen := func(term position.Term, reached bool) []leadership.Observation {
+		return []leadership.Observation{{ID: "t", Reached: reached, Status: query.TargetStatus{Term: term}}}
+	}
+	Convey("A term counts as reached unless the called target answers and has not joined it", t, func() {
+		So(presentTerm(seen(2, true), 3, "t"), ShouldEqual, position.Term(2))
+		So(presentTerm(seen(3, true), 3, "t"), ShouldEqual, position.Term(3))
+		So(presentTerm(seen(0, false), 3, "t"), ShouldEqual, position.Term(3))
+		So(presentTerm(seen(2, true), 3, "other"), ShouldEqual, position.Term(3))
+		So(presentTerm(seen(2, true), 3, ""), ShouldEqual, position.Term(3))
+		So(presentTerm(seen(2, true), 2, "t"), ShouldEqual, position.Term(2))
+	})
+}
+
 // intentModel is a state of the model of TestIntentModel: one group, two daemons that may hold
 // the promotion lock, and the platform, on which a promote call raises the term by one.
 type intentModel struct {
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -407,7 +407,7 @@
 // callPromote verifies the promotion lock and makes the promote call. It returns
 // PromoteBusy without a call if the lock is lost or the term has been joined meanwhile.
 func (a *attempt) callPromote(ctx context.Context, target string) (PromoteAnswer, error) {
-	if err := a.PromotionLock.Verify(ctx, a.lock, a.group.Name); err != nil {
+	if err := a.PromotionLock.Verify(ctx, a.lock, a.group.Name, target); err != nil {
 		return PromoteBusy, err
 	}
 	if err := a.checkTerm(); err != nil {
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -84,6 +84,9 @@
 	// all calls so far led to earlier terms. Releases that don't know the field drop it, and
 	// the intents count as used then.
 	UnusedIntents []string `json:"unused_intents,omitempty"`
+	// Called maps each group to the target of the last promote call. A release that doesn't
+	// know the field drops it, and any target may have been called then.
+	Called map[string]string `json:"called,omitempty"`
 	// Era is the era of the store in which the record was written. In a later era the
 	// record is a copy: nobody holds the lock by it, and promotions that were recorded after
 	// the copy was made are missing from its intents.
@@ -254,11 +257,11 @@
 }
 
 // tenure returns the known record as that of a new tenure of this process. What a copy
-// tells of unused intents may be outdated. m.mu must be held.
+// tells of promote calls may be outdated. m.mu must be held.
 func (m *LockManager) tenure() lockRecord {
 	next := m.record
 	if m.vacant() {
-		next.UnusedIntents = nil
+		next.UnusedIntents, next.Called = nil, nil
 	}
 	next.Holder, next.Process, next.Era = m.name, m.process, m.Era()
 	next.Token = max(next.Token+1, uint64(next.Era-store.UnannouncedEra)*tokensPerEra)
@@ -319,20 +322,20 @@
 	}()
 }
 
-// Verify returns nil if this daemon may make a promote call for the group: it still holds
-// the promotion lock d, as proven by a write that is at most lockFresh old. It writes the
-// record if the last write is older than half of that, or the intent is not recorded as used.
+// Verify returns nil if this daemon may make a promote call for a target of the group: it
+// still holds the promotion lock d, as proven by a write that is at most lockFresh old. It writes the
+// record if the last write is older than half of that, or does not tell of the call.
 // It returns ErrOtherHolder if the lock has another holder or token.
-func (m *LockManager) Verify(ctx context.Context, d PromotionLock, group string) error {
+func (m *LockManager) Verify(ctx context.Context, d PromotionLock, group, target string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.now()-m.writtenAt > lockFresh/2 || m.record.isUnused(group) {
+	if m.now()-m.writtenAt > lockFresh/2 || m.record.isUnused(group) || m.record.Called[group] != target {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		if !m.holdsLock() {
 			return fmt.Errorf("%w: %s", ErrOtherHolder, m.record.Holder)
 		}
-		if err := m.write(ctx, m.record.withUnused(group, false)); err != nil {
+		if err := m.write(ctx, m.record.withCall(group, target)); err != nil {
 			return err
 		}
 	}
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,23 +20,26 @@
 const outdatedAfter = 10 * time.Second
 
 // minTerm returns the term that a target must have joined to be promoted, when a promotion has
-// been needed for the given time, and returns leadership.ErrNoSuccessor if no target in reach has joined
-// it. The log of a target that has not joined a term may end in commits that the promotion to
-// that term has rolled back: they would return, and reads of that term would turn out to have
+// been needed for the given time, and returns leadership.ErrNoSuccessor if no target in reach
+// has joined it.
+//
+// The log of a target that has not joined a term may end in commits that the promotion to that
+// term has rolled back: they would return, and reads of that term would turn out to have
 // missed them. The primary of the term, or a target that follows it, mostly returns in some
 // seconds.
 func (p *Promoter) minTerm(ctx context.Context, g *backend.Group, needed time.Duration) (position.Term, error) {
 	if needed >= outdatedAfter {
 		return 0, nil
 	}
-	reached, err := p.PromotionLock.ReachedTerm(ctx, g.Name)
+	reached, called, err := p.PromotionLock.ReachedTerm(ctx, g.Name)
 	if err != nil {
 		return 0, err
 	}
 	old := knownPrimary(g)
-	present := func() position.Term { return max(g.JoinedTerm(), reached) }
+	var present position.Term
 	hasSuccessor := func(seen []leadership.Observation) bool {
-		c := leadership.Candidates{Targets: seen, Except: leadership.PrimariesOf(seen, present()), MinTerm: present(), SyncReplicas: g.Limits().SyncReplicas}
+		present = max(g.JoinedTerm(), presentTerm(seen, reached, called))
+		c := leadership.Candidates{Targets: seen, Except: leadership.PrimariesOf(seen, present), MinTerm: present, SyncReplicas: g.Limits().SyncReplicas}
 		if old != nil {
 			c.Except[old.Info().ID] = true
 		}
@@ -45,8 +49,21 @@
 	observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, hasSuccessor)
 	g.ObserveJoinedTerm(leadership.JoinedTerm(observed))
 	if hasSuccessor(observed) {
-		return present(), nil
+		return present, nil
 	}
 	metrics.GetOrCreateCounter(`laburnumrack_promotions_delayed_total{reason="no_successor"}`).Inc()
-	return 0, fmt.Errorf("%w: group %s, term %d", leadership.ErrNoSuccessor, g.Name, present())
+	return 0, fmt.Errorf("%w: group %s, term %d", leadership.ErrNoSuccessor, g.Name, present)
+}
+
+// presentTerm returns the newest term that may have a primary, if promote calls may have led to
+// the reached one. A called target that answers and has not joined it shows that its call has
+// had no effect.
+func presentTerm(seen []leadership.Observation, reached position.Term, called string) position.Term {
+	withoutEffect := slices.ContainsFunc(seen, func(o leadership.Observation) bool {
+		return o.ID == called && o.Reached && o.Status.Term < reached
+	})
+	if withoutEffect {
+		return reached - 1
+	}
+	return reached
 }
