Keep the end of a demoted primary's log for the next attempt

With synchronous replicas and one replica down, an attempt that failed after the demotion left a group without a primary until the entry of the replica was dropped: the next attempt no longer knew that another replica has the whole log. The same if the primary did not answer in time when it was asked whether it leads.

Change: the promoter keeps the end of the log by group and term, and asks a leaving primary again right before the demotion.

TestOutdatedTargetIsNotPromoted counted from after the crash, so that 9.997 s were seen of the 10 s that must pass; it counts from before it now. The bound is the same.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -50,6 +50,15 @@
 
 	// requested maps each group to the highest promotionDemand made of the holder.
 	requested sync.Map
+	// retired maps each group to the retiredPrimary that this daemon demoted last.
+	retired sync.Map
+}
+
+// retiredPrimary is a primary that was demoted while it led a term: no commit of the term comes
+// after the end of its log. It stays true for later attempts, should the first one fail.
+type retiredPrimary struct {
+	term position.Term
+	end  position.Position
 }
 
 // promotionDemand is a promotion that was requested from the holder. In a later era of the
@@ -98,11 +107,8 @@
 	*Promoter
 	group *backend.Group
 	// old is the primary to replace, nil if unknown.
-	old *backend.Target
-	// oldEnd is the end of the log of the old primary if it led the term before and was
-	// demoted, nil if not.
-	oldEnd *position.Position
-	term   position.Term
+	old  *backend.Target
+	term position.Term
 	// minTerm is the term that a target must have joined to be promoted.
 	minTerm position.Term
 	lock    PromotionLock
@@ -235,10 +241,11 @@
 }
 
 // handOver demotes the old primary when the leases on it expire at leasesEnd, until when it
-// serves, and waits until a replica has received the rest of its log. leads tells that it is
-// known to lead the present term.
+// serves, and waits until a replica has received the rest of its log. leads tells that it was
+// found to lead the present term; if not, it is asked again.
 func (a *attempt) handOver(ctx context.Context, leads bool, leasesEnd time.Duration) error {
 	ctxtime.Sleep(ctx, leasesEnd-boottime.Now())
+	leads = leads || a.isPrimaryLeading(ctx)
 	if err := a.checkLock(); err != nil {
 		return err
 	}
@@ -247,7 +254,7 @@
 		return nil
 	}
 	if leads {
-		a.oldEnd = &end
+		a.retired.Store(a.group.Name, retiredPrimary{term: a.term - 1, end: end})
 	}
 	a.awaitCatchUp(ctx, end)
 	return nil
@@ -335,8 +342,12 @@
 // whole log of the demoted primary has every acknowledged commit, whatever the others have.
 func (a *attempt) holdsSuffice(seen []leadership.Observation) bool {
 	syncReplicas := a.group.Limits().SyncReplicas
-	if a.oldEnd != nil && slices.ContainsFunc(seen, func(o leadership.Observation) bool { return a.covers(o, *a.oldEnd) }) {
-		syncReplicas = 0
+	if known, ok := a.retired.Load(a.group.Name); ok {
+		retired := known.(retiredPrimary)
+		complete := func(o leadership.Observation) bool { return a.covers(o, retired.end) }
+		if retired.term == a.term-1 && slices.ContainsFunc(seen, complete) {
+			syncReplicas = 0
+		}
 	}
 	return leadership.HoldsSuffice(seen, a.oldID(), a.term, syncReplicas)
 }
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -351,8 +351,8 @@
 			}
 		})
 		Convey("the outdated target is promoted when nothing else has come for long", func() {
-			tc.group.Crash(1)
 			away := time.Now()
+			tc.group.Crash(1)
 			tc.eventually(13*time.Second, "the outdated target serves", func() bool { return c.Query("WRITE away x").OK() })
 			So(time.Since(away), ShouldBeGreaterThan, outdatedTargetWait)
 			checkSingleHolder(tc)
