--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -167,8 +167,8 @@
 	return out
 }
 
-// hasOtherValues reports whether the connection has values that are not wanted, or may have
-// some.
+// hasOtherValues reports whether the connection may have values that are not wanted, which
+// only a RESET removes.
 func (c *PooledConn) hasOtherValues(wanted map[string]string) bool {
 	if c.values == nil {
 		return true
--- a/internal/failover/intent.go
+++ b/internal/failover/intent.go
@@ -8,9 +8,11 @@
 	"github.com/laburnumrack/laburnumrack/internal/position"
 )
 
-// A promote call leads to the term after the newest one, whatever the caller knows of it. The
-// recorded intent of a group must therefore cover the terms that targets out of reach may
-// have joined: it is at least one above every term to which an earlier call may have led.
+// A promote call leads to the term after the newest one, whatever the caller knows of it:
+// targets out of reach may have joined later terms than those that answer. Two rules keep each
+// call at or below the recorded intent of its group. No call leads above the intent, and an
+// unused intent is above every term to which an earlier call may have led, so that it covers
+// one more call.
 
 // raiseIntents returns the higher term of each group.
 func raiseIntents(a, b map[string]position.Term) map[string]position.Term {
@@ -77,8 +79,8 @@
 }
 
 // withLeader returns the record after a promote call has led to a primary of the given term.
-// An intent above that term covered an earlier call without an answer, which counts as
-// without effect now; it is used for the next call.
+// If the intent is above that term, it also covered an earlier call that was not answered.
+// That call takes no effect after a later one has, so the intent is unused again.
 func (r lockRecord) withLeader(group string, term position.Term) lockRecord {
 	r.Intents = raiseIntents(r.Intents, map[string]position.Term{group: term})
 	r.Unsettled = slices.DeleteFunc(slices.Clone(r.Unsettled), func(g string) bool { return g == group })
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -223,7 +223,9 @@
 }
 
 // Acquire records the intent to promote the group once, to term as far as the targets tell,
-// and returns the promotion lock. If another daemon holds the lock, Acquire takes it over once the record has been
+// and returns the promotion lock.
+//
+// If another daemon holds the lock, Acquire takes it over once the record has been
 // unchanged for takeoverAfter and the promotion has been needed for holderGrace, which
 // shows that the holder does not act; a holder that doesn't answer a probe gets no such
 // grace, and nor does that of an earlier era. Until then it returns ErrOtherHolder. waited
--- a/internal/frontend/statelimit.go
+++ b/internal/frontend/statelimit.go
@@ -8,8 +8,8 @@
 
 // Limits on the bytes of the session state, besides those on its entries.
 const (
-	// maxSessionState is the size in bytes of the values and prepared statements of one
-	// session. A message of a caller may have 1 MiB.
+	// maxSessionState is the largest size in bytes of the values and prepared statements of
+	// one session. It leaves room for several entries of the largest message, 1 MiB.
 	maxSessionState = 4 << 20
 	// stateMemoryShare is the part of the memory of a VM that the state of all sessions may
 	// take.
@@ -18,7 +18,7 @@
 	entryOverhead = 64
 )
 
-// reasonStateFull is the reason of a refusal for want of memory for the session state.
+// reasonStateFull is the reason of a refusal when StateBudget is used up.
 const reasonStateFull = "session_state_full"
 
 // StateBudget limits the bytes of the state of all sessions of a daemon. A nil budget has no
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -32,8 +32,8 @@
 	down          bool
 	partitioned   bool // from the other targets, not from callers
 	answersToLose int  // successful answers still to be withheld
-	// sheds, if not nil, reports whether the target answers a statement with BUSY. Control
-	// statements are not asked for.
+	// sheds, if not nil, reports whether the target answers a statement with BUSY. It is not
+	// called for control statements.
 	sheds    func(text string) bool
 	draining bool
 	// runCounts holds how often each statement ran, by statement ID.
