--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -52,17 +52,14 @@
 	exited            chan struct{}
 }
 
-// fleet is a small deployment: the daemons and what they need to start.
-type fleet struct {
-	dir     string
-	subnet  string
-	store   string
-	cloud   string
-	log     *recorder
-	daemons []*daemon
-	// bounds and limits override those of the settings.
-	limits map[string]any
-	extra  map[string]any
+// daemons are the processes of a small deployment and what they need to start.
+type daemons struct {
+	dir    string
+	subnet string
+	store  string
+	cloud  string
+	log    *recorder
+	all    []*daemon
 }
 
 var zones = map[string]string{"osijek": "panonija", "split": "jadran", "vukovar": "panonija"}
@@ -88,19 +85,16 @@
 	}
 }
 
-func (f *fleet) add(name, zone string) *daemon {
-	d := &daemon{name: name, zone: zone, ip: fmt.Sprintf("%s%d", f.subnet, len(f.daemons)+1)}
+func (f *daemons) add(name, zone string) *daemon {
+	d := &daemon{name: name, zone: zone, ip: fmt.Sprintf("%s%d", f.subnet, len(f.all)+1)}
 	d.front, d.ready = fmt.Sprintf("%s:%d", d.ip, frontPort), fmt.Sprintf("%s:%d", d.ip, readyPort)
 	d.settings, d.logFile = filepath.Join(f.dir, name+".json"), filepath.Join(f.dir, name+".log")
-	f.daemons = append(f.daemons, d)
+	f.all = append(f.all, d)
 	return d
 }
 
-func (f *fleet) writeSettings(d *daemon, bootstrap bool) error {
+func (f *daemons) writeSettings(d *daemon, bootstrap bool) error {
 	limits := map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0}
-	for k, v := range f.limits {
-		limits[k] = v
-	}
 	settings := map[string]any{
 		"node_name": d.name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": d.ip, "zone": d.zone, "region": zones[d.zone], "zones": zones,
 		"listen": map[string]string{"front": d.front, "ready": d.ready}, "port_range": []int{firstPort, lastPort}, "seeds": []string{}, "bootstrap": bootstrap,
@@ -122,7 +116,7 @@
 }
 
 // start starts the process of a daemon as deploy/system.toml says.
-func (f *fleet) start(d *daemon, bootstrap bool) error {
+func (f *daemons) start(d *daemon, bootstrap bool) error {
 	if err := f.writeSettings(d, bootstrap); err != nil {
 		return err
 	}
@@ -130,20 +124,20 @@
 	if err != nil {
 		return err
 	}
-	d.cmd = exec.Command("target/laburnumrack", "node", "--metrics-listen", fmt.Sprintf("%s:%d", d.ip, metricsPort))
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "LABURNUMRACK_BOOT=" + d.settings}
-	d.cmd.Stdout, d.cmd.Stderr = out, out
-	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := d.cmd.Start(); err != nil {
+	cmd := exec.Command("target/laburnumrack", "node", "--metrics-listen", fmt.Sprintf("%s:%d", d.ip, metricsPort))
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "LABURNUMRACK_BOOT=" + d.settings}
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
-	d.exited = exited
-	go func(cmd *exec.Cmd) {
+	d.cmd, d.exited = cmd, exited
+	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
 		close(exited)
-	}(d.cmd)
+	}()
 	return nil
 }
 
@@ -159,11 +153,11 @@
 func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
 
 // awaitReady waits until all daemons answer the readiness probe with 200.
-func (f *fleet) awaitReady(limit time.Duration) bool {
+func (f *daemons) awaitReady(limit time.Duration) bool {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
-		for _, d := range f.daemons {
+		for _, d := range f.all {
 			if res, err := client.Get("http://" + d.ready + "/api/readiness"); err == nil {
 				_ = res.Body.Close()
 				if res.StatusCode == http.StatusOK {
@@ -171,15 +165,15 @@
 				}
 			}
 		}
-		if ready == len(f.daemons) {
+		if ready == len(f.all) {
 			return true
 		}
 	}
 	return false
 }
 
-func (f *fleet) kill() {
-	for _, d := range f.daemons {
+func (f *daemons) kill() {
+	for _, d := range f.all {
 		if d.cmd != nil {
 			_ = d.cmd.Process.Signal(syscall.SIGCONT)
 			_ = d.cmd.Process.Kill()
@@ -258,7 +252,7 @@
 		case "READY":
 			r.state, _, _ = strings.Cut(rest, " ")
 			r.answered = time.Now()
-			c.log.quiet(c.name, "gets %.80q %q for %s, state %s", r.rows, r.result, r.id, r.state)
+			c.log.quiet(c.name, "gets %d rows %.60q, %q for %s, state %s", len(r.rows), strings.Join(r.rows, ","), r.result, r.id, r.state)
 			return r, nil
 		default:
 			r.result = line
@@ -267,3 +261,54 @@
 }
 
 func (c *client) close() { _ = c.conn.Close() }
+
+// owner returns the name of the daemon that has opened a connection to this process: the one
+// that holds the socket of its far end.
+func (f *daemons) owner(c net.Conn) string {
+	for range 20 {
+		if name := f.findOwner(c); name != "" {
+			return name
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.log.event("rig", "the owner of the connection from %s is not known", c.RemoteAddr())
+	return ""
+}
+
+func (f *daemons) findOwner(c net.Conn) string {
+	inode := socketInode(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
+	if inode == "" {
+		return ""
+	}
+	for _, d := range f.all {
+		if d.cmd == nil {
+			continue
+		}
+		dir := fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid)
+		entries, _ := os.ReadDir(dir)
+		for _, e := range entries {
+			if target, _ := os.Readlink(filepath.Join(dir, e.Name())); target == "socket:["+inode+"]" {
+				return d.name
+			}
+		}
+	}
+	return ""
+}
+
+// socketInode returns the inode of the socket with a local and a remote address, empty if there
+// is none. A local port may be in use towards several remote ones.
+func socketInode(local, remote *net.TCPAddr) string {
+	data, _ := os.ReadFile("/proc/net/tcp")
+	for _, line := range strings.Split(string(data), "\n") {
+		if f := strings.Fields(line); len(f) > 9 && f[1] == procAddress(local) && f[2] == procAddress(remote) {
+			return f[9]
+		}
+	}
+	return ""
+}
+
+// procAddress returns an address as /proc/net/tcp has it.
+func procAddress(a *net.TCPAddr) string {
+	ip := a.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+}
--- a/review/rig2/instances.go
+++ b/review/rig2/instances.go
@@ -25,6 +25,7 @@
 	workTime      = 4 * time.Millisecond
 	stepDownAfter = time.Second
 	maxConns      = 21
+	maxMessage    = 1 << 20
 )
 
 // entry is one commit in the log of an instance.
@@ -41,14 +42,16 @@
 	listener       net.Listener
 
 	// The fields below are guarded by s.mu.
-	primary  bool
-	term     uint64
-	held     uint64
-	log      []entry
-	conns    map[net.Conn]struct{}
-	gone     bool // lost for good
-	deaf     bool // receives nothing
-	cut      bool // partitioned from the other instances, the store and the daemons that use it
+	primary bool
+	term    uint64
+	held    uint64
+	log     []entry
+	conns   map[net.Conn]struct{}
+	gone    bool // lost for good
+	deaf    bool // receives nothing
+	cut     bool // partitioned from the other instances, the store and the daemons that use it
+	// cutFrom names the daemons from which alone the instance is partitioned.
+	cutFrom  map[string]bool
 	listed   bool
 	lastBeat time.Time
 	// metSince is when the instance began to reach a primary of a later term.
@@ -60,13 +63,17 @@
 	name  string
 	store *site.Store
 	log   *recorder
+	// owner returns the name of the daemon that has opened a connection.
+	owner func(net.Conn) string
 
 	mu        sync.Mutex
 	instances []*instance
 	// promotedAt is when each term began to be led.
 	promotedAt map[uint64]time.Time
 	runs       []run
-	stopped    chan struct{}
+	// lag is how long after its commit a replica has an entry.
+	lag     time.Duration
+	stopped chan struct{}
 }
 
 // run is one run of a client's statement.
@@ -78,13 +85,13 @@
 }
 
 func newService(name, ip string, zones []string, store *site.Store, log *recorder) (*service, error) {
-	s := &service{name: name, store: store, log: log, promotedAt: map[uint64]time.Time{}, stopped: make(chan struct{})}
+	s := &service{name: name, store: store, log: log, promotedAt: map[uint64]time.Time{}, lag: replicaLag, stopped: make(chan struct{})}
 	for i, zone := range zones {
 		l, err := net.Listen("tcp4", ip+":0")
 		if err != nil {
 			return nil, err
 		}
-		t := &instance{id: fmt.Sprintf("i-%c", 'a'+i), zone: zone, addr: l.Addr().String(), s: s, listener: l, primary: i == 0, term: 1, conns: map[net.Conn]struct{}{}}
+		t := &instance{id: fmt.Sprintf("i-%s-%c", name, 'a'+i), zone: zone, addr: l.Addr().String(), s: s, listener: l, primary: i == 0, term: 1, conns: map[net.Conn]struct{}{}}
 		s.instances = append(s.instances, t)
 		go t.accept()
 	}
@@ -191,7 +198,7 @@
 		s.log.event(t.id, "joins term %d of %s", t.term, source.id)
 	}
 	n := 0
-	for n < len(source.log) && now.Sub(source.log[n].at) >= replicaLag {
+	for n < len(source.log) && now.Sub(source.log[n].at) >= s.lag {
 		n++
 	}
 	same := 0
@@ -247,6 +254,20 @@
 	}
 }
 
+// setCutFrom partitions an instance from some daemons only, nil for none.
+func (s *service) setCutFrom(t *instance, daemons map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.cutFrom = daemons
+}
+
+// setLag sets how long after its commit a replica has an entry.
+func (s *service) setLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
 func (s *service) setDeaf(t *instance, deaf bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -269,16 +290,6 @@
 	}
 }
 
-// primaries returns the instances that take themselves for a primary.
-func (s *service) find(id string) *instance {
-	for _, t := range s.instances {
-		if t.id == id {
-			return t
-		}
-	}
-	return nil
-}
-
 func (t *instance) accept() {
 	for {
 		c, err := t.listener.Accept()
@@ -327,7 +338,11 @@
 	}
 	time.Sleep(12 * time.Millisecond)
 	s := &session{t: t, values: map[string]string{}, prepared: map[string]string{}}
-	if !t.send(c, fmt.Sprintf("READY I %s\r\n", t.position())) {
+	owner := ""
+	if t.s.owner != nil {
+		owner = t.s.owner(c)
+	}
+	if !t.send(c, owner, fmt.Sprintf("READY I %s\r\n", t.position())) {
 		return
 	}
 	for {
@@ -340,36 +355,37 @@
 			return
 		}
 		id, text, _ := strings.Cut(rest, " ")
-		if t.isCut() {
+		if t.isCut(owner) {
 			// Nothing arrives here as long as the partition lasts.
-			t.awaitHeal()
+			t.awaitHeal(owner)
 			return
 		}
 		answer := s.run(id, text)
-		if !t.send(c, answer+fmt.Sprintf("READY %s %s\r\n", s.state(), t.position())) {
+		if !t.send(c, owner, answer+fmt.Sprintf("READY %s %s\r\n", s.state(), t.position())) {
 			return
 		}
 	}
 }
 
 // send writes an answer unless the instance is cut off.
-func (t *instance) send(c net.Conn, text string) bool {
-	if t.isCut() {
-		t.awaitHeal()
+func (t *instance) send(c net.Conn, owner, text string) bool {
+	if t.isCut(owner) {
+		t.awaitHeal(owner)
 		return false
 	}
 	_, err := c.Write([]byte(text))
 	return err == nil
 }
 
-func (t *instance) isCut() bool {
+// isCut reports whether the instance is partitioned from a daemon.
+func (t *instance) isCut(owner string) bool {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	return t.cut
+	return t.cut || t.cutFrom[owner]
 }
 
-func (t *instance) awaitHeal() {
-	for t.isCut() {
+func (t *instance) awaitHeal(owner string) {
+	for t.isCut(owner) {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -525,6 +541,11 @@
 func (s *session) read(id, original, item string) string {
 	t := s.t
 	t.ran(id, original, 0)
+	if rows, ok := strings.CutPrefix(item, "rows-"); ok {
+		n, _ := strconv.Atoi(rows)
+		row := "ROW " + strings.Repeat("r", maxMessage-len("ROW \r\n")) + "\r\n"
+		return strings.Repeat(row, n) + fmt.Sprintf("DONE sig-%s-%s\r\n", t.id, id)
+	}
 	data := "none"
 	for _, e := range t.log {
 		if e.item == item {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -39,20 +39,21 @@
 		fmt.Println("usage: rig2 CASE DIRECTORY")
 		return failed
 	}
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
-		fmt.Println(err)
-		return failed
+	// KEEP_LOGS names a folder in which the logs of the daemons are kept.
+	dir := os.Getenv("KEEP_LOGS")
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "review"); err != nil {
+			fmt.Println(err)
+			return failed
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
 	log, err := newRecorder(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil {
 		fmt.Println(err)
 		return failed
 	}
-	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		dir = keep
-	}
 	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, log: log}
 	code, err := cases[os.Args[1]](e)
 	if err != nil {
