--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -40,7 +40,10 @@
 
 // newDeployment starts eight daemons in three zones and two services, and waits until all are
 // ready and have had time to settle.
-func newDeployment(e *environment) (*deployment, error) {
+func newDeployment(e *environment) (*deployment, error) { return newDeploymentWith(e, 0) }
+
+// newDeploymentWith is newDeployment with a number of synchronous replicas.
+func newDeploymentWith(e *environment, syncReplicas int) (*deployment, error) {
 	subnet := pickSubnet()
 	platformIP := subnet + "100"
 	platform, err := site.NewStore(platformIP)
@@ -60,7 +63,7 @@
 		return r
 	}
 	declared := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, "sync_replicas": 0}
+		return map[string]any{"name": name, "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, "sync_replicas": syncReplicas}
 	}
 	platform.Put("config", "main", map[string]any{
 		"version": 7,
@@ -83,6 +86,7 @@
 	if d.second, err = newService(two, platformIP, places, platform, e.log); err != nil {
 		return nil, err
 	}
+	d.service.syncReplicas, d.second.syncReplicas = syncReplicas, syncReplicas
 	if d.cloud, err = newCloud(platformIP, e.log, d.service, d.second); err != nil {
 		return nil, err
 	}
--- a/review/rig2/instances.go
+++ b/review/rig2/instances.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,8 +73,12 @@
 	promotedAt map[uint64]time.Time
 	runs       []run
 	// lag is how long after its commit a replica has an entry.
-	lag     time.Duration
-	stopped chan struct{}
+	lag time.Duration
+	// syncReplicas is how many replicas receive a commit before it is acknowledged.
+	syncReplicas int
+	// promotedLogs holds, by term, the log with which an instance began to lead it.
+	promotedLogs map[uint64][]entry
+	stopped      chan struct{}
 }
 
 // run is one run of a client's statement.
@@ -85,7 +90,7 @@
 }
 
 func newService(name, ip string, zones []string, store *site.Store, log *recorder) (*service, error) {
-	s := &service{name: name, store: store, log: log, promotedAt: map[uint64]time.Time{}, lag: replicaLag, stopped: make(chan struct{})}
+	s := &service{name: name, store: store, log: log, promotedAt: map[uint64]time.Time{}, promotedLogs: map[uint64][]entry{}, lag: replicaLag, stopped: make(chan struct{})}
 	for i, zone := range zones {
 		l, err := net.Listen("tcp4", ip+":0")
 		if err != nil {
@@ -93,7 +98,7 @@
 		}
 		t := &instance{id: fmt.Sprintf("i-%s-%c", name, 'a'+i), zone: zone, addr: l.Addr().String(), s: s, listener: l, primary: i == 0, term: 1, conns: map[net.Conn]struct{}{}}
 		s.instances = append(s.instances, t)
-		go t.accept()
+		go t.accept(l)
 	}
 	go s.live()
 	return s, nil
@@ -236,7 +241,7 @@
 		o.held = 0
 	}
 	t.primary, t.term = true, newest+1
-	s.promotedAt[t.term] = time.Now()
+	s.promotedAt[t.term], s.promotedLogs[t.term] = time.Now(), slices.Clone(t.log)
 	s.log.event(t.id, "leads term %d with a log of %d commits", t.term, len(t.log))
 	if !t.cut {
 		s.publish(t)
@@ -283,6 +288,46 @@
 	t.dropConns()
 }
 
+// restart starts an instance again that was lost, with its log: as a replica if another instance
+// was promoted meanwhile.
+func (s *service) restart(t *instance) error {
+	l, err := net.Listen("tcp4", t.addr)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.listener, t.gone, t.held = l, false, 0
+	for term := range s.promotedAt {
+		if term > t.term {
+			t.primary = false
+		}
+	}
+	s.publish(t)
+	go t.accept(l)
+	return nil
+}
+
+// awaitReplicas waits until enough replicas have received a commit. It reports false if the
+// instance has ended meanwhile.
+func (t *instance) awaitReplicas(number int) bool {
+	for {
+		t.s.mu.Lock()
+		have := 0
+		for _, o := range t.s.instances {
+			if o != t && len(o.log) >= number && len(t.log) >= number && o.log[number-1] == t.log[number-1] {
+				have++
+			}
+		}
+		ended, enough := t.gone, have >= t.s.syncReplicas
+		t.s.mu.Unlock()
+		if ended || enough {
+			return !ended
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (t *instance) dropConns() {
 	for c := range t.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
@@ -290,9 +335,9 @@
 	}
 }
 
-func (t *instance) accept() {
+func (t *instance) accept(l net.Listener) {
 	for {
-		c, err := t.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -320,6 +365,8 @@
 	plain    bool
 	failed   bool
 	pending  []entry
+	// committed is the number of the commit of the statement that runs, 0 for none.
+	committed int
 }
 
 func (t *instance) serve(c net.Conn) {
@@ -360,7 +407,11 @@
 			t.awaitHeal(owner)
 			return
 		}
+		s.committed = 0
 		answer := s.run(id, text)
+		if s.committed > 0 && !t.awaitReplicas(s.committed) {
+			return
+		}
 		if !t.send(c, owner, answer+fmt.Sprintf("READY %s %s\r\n", s.state(), t.position())) {
 			return
 		}
@@ -458,8 +509,8 @@
 		return t.status()
 	case "HOLD":
 		term, _ := strconv.ParseUint(f[1], 10, 64)
-		if term > t.term && !t.primary {
-			t.held = max(t.held, term)
+		if term > max(t.term, t.held) && !t.primary {
+			t.held = term
 			t.s.log.event(t.id, "is held at term %d", t.held)
 		}
 		return t.status()
@@ -499,6 +550,7 @@
 			number = t.commit(e)
 		}
 		s.open, s.pending = false, nil
+		s.committed = number
 		t.ran(id, original, number)
 		return "DONE sig-" + t.id + "-" + id + "\r\n"
 	case "READ":
@@ -568,6 +620,7 @@
 	} else {
 		number = t.commit(e)
 	}
+	s.committed = number
 	t.ran(id, original, number)
 	return "DONE sig-" + t.id + "-" + id + "\r\n"
 }
