--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -178,6 +178,7 @@
 	"read-write": {0, playReadWrite},
 	"key-moved":  {0, playKeyMoved},
 	"large-rows": {0, playLargeRows},
+	"unfinished": {0, playUnfinished},
 }
 
 func main() {
