--- a/review/rig3/database.go
+++ b/review/rig3/database.go
@@ -469,6 +469,7 @@
 func (s *instanceSession) ranLocked(id string) {
 	s.i.db.runs[id]++
 	s.i.db.tenants[id] = s.tenant
+	s.i.db.logf("ran %s at %s for %s", id, s.i.id, s.tenant)
 }
 
 // coversLocked reports whether the log holds a position.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -174,8 +174,6 @@
 	syncReplicas int
 	play         func(w *world) int
 }{
-	"lost-sync":  {1, playLostSync},
-	"read-write": {0, playReadWrite},
 	"key-moved":  {0, playKeyMoved},
 	"large-rows": {0, playLargeRows},
 	"unfinished": {0, playUnfinished},
