Ask the record of promote calls before the listed targets confirm a primary

The target that was promoted to term 2 was lost and left the list; the other replica had not joined its term. The primary lease was denied, but Group.confirm then asked the listed targets only, and a daemon that had not seen term 2 took the answer of the primary of term 1 for confirmed.

Cause: the list tells nothing of targets that have left it. The record of the promotion lock names the target of the last promote call, but only the promoter looked at it.

Change: records of the primary lease carry the unused intents and the called targets, between daemons in optional fields. An answer is confirmed by the replicas only if no call can have led to a later term: the called target answers and has not joined it. A called target that is not listed counts as the primary of that term. The record must have been read after a target last left the list; an expired one counts for what it tells of calls, and a relay without the store passes on its newest one. A target that has left the list is not promoted. A record or frame of an earlier release, which tells nothing of calls, is treated as before.

--- a/internal/backend/confirm.go
+++ b/internal/backend/confirm.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
-	"github.com/laburnumrack/laburnumrack/internal/position"
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
@@ -49,11 +50,10 @@
 type round struct {
 	primary *Target
 	done    chan struct{}
-	// highestTerm is the highest term that a replica has joined or is held at.
-	highestTerm position.Term
-	// asked is the number of replicas that were queried, answered the number of those
-	// that answered.
-	answered, asked int
+	// observed has one observation for each replica that was queried.
+	observed []leadership.Observation
+	// answered is the number of replicas that answered.
+	answered int
 }
 
 // Confirm checks whether the answer that the primary l gave before the call is valid: by
@@ -81,20 +81,43 @@
 	countConfirmation("replicas")
 	r := g.confirmer.joinRound(l.Target)
 	<-r.done
-	g.ObserveTerm(r.highestTerm)
+	g.ObserveTerm(leadership.HighestTerm(r.observed))
+	recorded := g.observeLastCall(l, r.observed)
 	switch {
 	case g.KnownTerm() > l.Term:
 		g.InvalidateLeader(l)
 		return Deposed
-	case r.asked > 0 && r.answered == 0:
+	case len(r.observed) > 0 && r.answered == 0:
 		return Isolated
-	case r.asked == 0 || r.answered < r.asked:
+	case len(r.observed) == 0 || r.answered < len(r.observed) || !recorded:
 		return Unconfirmed
 	default:
 		return Confirmed
 	}
 }
 
+// observeLastCall takes into account that a target may have been promoted that is not listed
+// any more, of which the replicas in observed may know nothing: it records the term to which
+// the last promote call may have led, unless the called target is listed. It reports false if
+// the record of the calls was read before a target left the list, or never: then the target
+// may have been called since.
+func (g *Group) observeLastCall(l *LeaderView, observed []leadership.Observation) bool {
+	record := g.PrimaryLease.Newest()
+	if record == nil || record.ReadStart < time.Duration(g.targetLostAt.Load()) {
+		return false
+	}
+	call, known := record.LastCall(g.Name)
+	if !known || call.Term <= l.Term {
+		return true
+	}
+	answered := leadership.Observation{ID: l.ID, Reached: true, Status: query.TargetStatus{Term: l.Term}}
+	present := call.PresentTerm(append(slices.Clone(observed), answered))
+	if present < call.Term || g.FindTarget(call.Target) == nil {
+		g.ObserveTerm(present)
+	}
+	return true
+}
+
 // countConfirmation counts an answer that the primary lease did not confirm, by what is
 // asked instead: "replicas", or "nobody" if the list of targets may be incomplete.
 func countConfirmation(by string) {
@@ -151,22 +174,15 @@
 			replicas = append(replicas, t)
 		}
 	}
-	r.asked = len(replicas)
-	statuses := make(chan *query.TargetStatus, r.asked)
-	for _, t := range replicas {
-		go func() {
-			status, err := t.Control(ctx, query.Statement{Kind: query.Status})
-			if err != nil {
-				statuses <- nil
-				return
-			}
-			statuses <- &status
-		}()
+	r.observed = make([]leadership.Observation, len(replicas))
+	var wg sync.WaitGroup
+	for i, t := range replicas {
+		wg.Go(func() { r.observed[i] = observeTarget(ctx, t, query.Statement{Kind: query.Status}) })
 	}
-	for range replicas {
-		if status := <-statuses; status != nil {
+	wg.Wait()
+	for _, o := range r.observed {
+		if o.Reached {
 			r.answered++
-			r.highestTerm = max(r.highestTerm, status.Term, status.Held)
 		}
 	}
 	close(r.done)
--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -83,6 +83,9 @@
 	// knownTerm is the highest term seen, joinedTerm the highest that a target has
 	// joined.
 	knownTerm, joinedTerm atomic.Uint64
+	// targetLostAt is the time since boot at which a target last left the list or was replaced
+	// by a new process; 0 if none was.
+	targetLostAt atomic.Int64
 
 	confirmer      confirmer
 	confirmTracker confirmTracker
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -216,6 +216,7 @@
 	if entry != nil {
 		old := entry.target.Info()
 		entry.unlistedAt = time.Time{}
+		entry.target.unlisted.Store(false)
 		entry.target.SetInfo(info)
 		if old.Incarnation != info.Incarnation || old.Primary != info.Primary || old.Draining != info.Draining {
 			r.Log.StateChange("target_changed", "target", info.ID, "group", info.Group, "primary", info.Primary, "draining", info.Draining, "incarnation", info.Incarnation)
@@ -243,6 +244,8 @@
 		return
 	}
 	entry.unlistedAt = time.Now()
+	entry.target.unlisted.Store(true)
+	r.groupLocked(entry.target.Info().Group).targetLostAt.Store(int64(boottime.Now()))
 	r.Log.StateChange("target_unlisted", "target", id, "kept_ms", unlistedRetention.Milliseconds())
 }
 
@@ -252,6 +255,9 @@
 	delete(r.targets, id)
 	entry.target.Pool.Close()
 	g := r.groupLocked(entry.target.Info().Group)
+	if entry.unlistedAt.IsZero() {
+		g.targetLostAt.Store(int64(boottime.Now()))
+	}
 	r.publishTargets(g)
 	g.TriggerCheck()
 	r.Log.StateChange("target_dropped", "target", id, "group", g.Name)
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -38,6 +38,8 @@
 	// draining; 0 if it is not, drainStartUnknown if it was draining when it was first
 	// listed.
 	drainingSince atomic.Int64
+	// unlisted is set while the target is kept although it has left the list.
+	unlisted atomic.Bool
 
 	mu                sync.Mutex
 	latency           time.Duration     // guarded by mu; moving average of the time to answer
@@ -108,6 +110,11 @@
 	}
 }
 
+// Unlisted reports whether the target has left the list and is kept for the moment.
+func (t *Target) Unlisted() bool {
+	return t.unlisted.Load()
+}
+
 // drainStartUnknown is the drainingSince of a target that was draining when it was first
 // listed.
 const drainStartUnknown = -1
--- a/internal/failover/intent.go
+++ b/internal/failover/intent.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 )
 
@@ -87,20 +88,24 @@
 	return r.withUnused(group, r.Intents[group] > term)
 }
 
-// ReachedTerm returns the highest term to which a promote call for the group may have led, 0 if
-// there was none, and the target of the last call, empty if it is not known. A daemon that
-// does not hold the lock reads the record from the store, unless it has done so a moment ago.
-func (m *LockManager) ReachedTerm(ctx context.Context, group string) (term position.Term, called string, err error) {
+// lastCall returns what the record tells of the promote calls for the group.
+func (r lockRecord) lastCall(group string) leadership.PromoteCall {
+	return leadership.PromoteCall{Term: r.reachedTerm(group), Target: r.Called[group]}
+}
+
+// LastCall returns what is recorded of the promote calls for the group. A daemon that does not
+// hold the lock reads the record from the store, unless it has done so a moment ago.
+func (m *LockManager) LastCall(ctx context.Context, group string) (leadership.PromoteCall, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.holdsLock() {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		if err := m.refresh(ctx); err != nil {
-			return 0, "", err
+			return leadership.PromoteCall{}, err
 		}
 	}
-	return m.record.reachedTerm(group), m.record.Called[group], nil
+	return m.record.lastCall(group), nil
 }
 
 // MarkUnused records that every promote call since the last Acquire for the group is known to
--- a/internal/failover/intent_test.go
+++ b/internal/failover/intent_test.go
@@ -105,9 +105,9 @@
 func TestReachedTerm(t *testing.T) {
 	ctx := context.Background()
 	reached := func(m *LockManager) position.Term {
-		term, _, err := m.ReachedTerm(ctx, "g")
+		call, err := m.LastCall(ctx, "g")
 		So(err, ShouldBeNil)
-		return term
+		return call.Term
 	}
 	Convey("The reached term is that of the last promote call that may have had an effect", t, func() {
 		s := newFakeStore()
@@ -121,16 +121,16 @@
 		So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
 		for _, m := range []*LockManager{a, b} {
 			So(reached(m), ShouldEqual, position.Term(2))
-			_, called, err := m.ReachedTerm(ctx, "g")
+			call, err := m.LastCall(ctx, "g")
 			So(err, ShouldBeNil)
-			So(called, ShouldEqual, "t")
+			So(call.Target, ShouldEqual, "t")
 		}
 		_, err = a.Acquire(ctx, "g", 2, 0)
 		So(err, ShouldBeNil)
 		So(reached(a), ShouldEqual, position.Term(2))
 		c.advance(recheckAfter)
 		s.down = true
-		_, _, err = b.ReachedTerm(ctx, "g")
+		_, err = b.LastCall(ctx, "g")
 		So(err, ShouldNotBeNil)
 	})
 	Convey("A term at which targets are held, and that none has joined, was not reached in an earlier era", t, func() {
@@ -142,9 +142,9 @@
 		})
 		claimUntilHeld(c, b)
 		So(reached(b), ShouldEqual, position.Term(2))
-		term, _, err := b.ReachedTerm(ctx, "h")
+		call, err := b.LastCall(ctx, "h")
 		So(err, ShouldBeNil)
-		So(term, ShouldEqual, position.Term(3))
+		So(call.Term, ShouldEqual, position.Term(3))
 	})
 }
 
@@ -155,12 +155,12 @@
 		return []leadership.Observation{{ID: "t", Reached: reached, Status: query.TargetStatus{Term: term}}}
 	}
 	Convey("A term counts as reached unless the called target answers and has not joined it", t, func() {
-		So(presentTerm(seen(2, true), 3, "t"), ShouldEqual, position.Term(2))
-		So(presentTerm(seen(3, true), 3, "t"), ShouldEqual, position.Term(3))
-		So(presentTerm(seen(0, false), 3, "t"), ShouldEqual, position.Term(3))
-		So(presentTerm(seen(2, true), 3, "other"), ShouldEqual, position.Term(3))
-		So(presentTerm(seen(2, true), 3, ""), ShouldEqual, position.Term(3))
-		So(presentTerm(seen(2, true), 2, "t"), ShouldEqual, position.Term(2))
+		So(leadership.PromoteCall{Term: 3, Target: "t"}.PresentTerm(seen(2, true)), ShouldEqual, position.Term(2))
+		So(leadership.PromoteCall{Term: 3, Target: "t"}.PresentTerm(seen(3, true)), ShouldEqual, position.Term(3))
+		So(leadership.PromoteCall{Term: 3, Target: "t"}.PresentTerm(seen(0, false)), ShouldEqual, position.Term(3))
+		So(leadership.PromoteCall{Term: 3, Target: "other"}.PresentTerm(seen(2, true)), ShouldEqual, position.Term(3))
+		So(leadership.PromoteCall{Term: 3, Target: ""}.PresentTerm(seen(2, true)), ShouldEqual, position.Term(3))
+		So(leadership.PromoteCall{Term: 2, Target: "t"}.PresentTerm(seen(2, true)), ShouldEqual, position.Term(2))
 	})
 }
 
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -389,6 +389,10 @@
 		if !ok {
 			return "", a.withoutEffect(ctx, fmt.Errorf("no replica of group %s can be promoted", a.group.Name))
 		}
+		if a.isUnlisted(target) {
+			// It has the best log. If it does not return to the list, it is dropped soon.
+			return "", a.withoutEffect(ctx, fmt.Errorf("target %s, which is to be promoted, has left the list", target))
+		}
 		answer, err := a.callPromote(ctx, target)
 		switch answer {
 		case PromoteRefused:
@@ -431,6 +435,13 @@
 	return answer, err
 }
 
+// isUnlisted reports whether a target has left the list. It is not promoted: other daemons may
+// have dropped it already, and ask only the targets that they know for a newer term.
+func (a *attempt) isUnlisted(target string) bool {
+	t := a.group.FindTarget(target)
+	return t == nil || t.Unlisted()
+}
+
 // isNearer reports whether target x is nearer to this daemon than y. It orders candidates
 // with equal logs.
 func (a *attempt) isNearer(x, y string) bool {
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -87,6 +87,9 @@
 	// Called maps each group to the target of the last promote call. A release that doesn't
 	// know the field drops it, and any target may have been called then.
 	Called map[string]string `json:"called,omitempty"`
+	// RecordsCalls tells that the last writer of the record knew UnusedIntents and Called. A
+	// release that doesn't know them drops it.
+	RecordsCalls bool `json:"records_calls,omitempty"`
 	// Era is the era of the store in which the record was written. In a later era the
 	// record is a copy: nobody holds the lock by it, and promotions that were recorded after
 	// the copy was made are missing from its intents.
@@ -429,7 +432,7 @@
 		r := primarylease.Record{ReadStart: started, Read: o.Point()}
 		if o.Era == store.UnannouncedEra {
 			// Such a store loses no record, so there have been no promotions.
-			r.WrittenIn = o.Era
+			r.WrittenIn, r.RecordsCalls = o.Era, true
 		}
 		return r, nil
 	}
@@ -440,7 +443,10 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return primarylease.Record{}, fmt.Errorf("decode promotion intents: %w", err)
 	}
-	return primarylease.Record{Intents: r.Intents, ReadStart: started, Read: o.Point(), WrittenIn: r.writtenIn(), Unsettled: r.Unsettled}, nil
+	return primarylease.Record{
+		Intents: r.Intents, ReadStart: started, Read: o.Point(), WrittenIn: r.writtenIn(), Unsettled: r.Unsettled,
+		Unused: r.UnusedIntents, Called: r.Called, RecordsCalls: r.RecordsCalls,
+	}, nil
 }
 
 // holdsLock reports whether the known record names this process as holder in the present
@@ -476,6 +482,7 @@
 // be held.
 func (m *LockManager) write(ctx context.Context, r lockRecord) error {
 	r.Acts++
+	r.RecordsCalls = true
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode the promotion lock: %w", err)
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,14 +30,14 @@
 	if needed >= outdatedAfter {
 		return 0, nil
 	}
-	reached, called, err := p.PromotionLock.ReachedTerm(ctx, g.Name)
+	call, err := p.PromotionLock.LastCall(ctx, g.Name)
 	if err != nil {
 		return 0, err
 	}
 	old := knownPrimary(g)
 	var present position.Term
 	hasSuccessor := func(seen []leadership.Observation) bool {
-		present = max(g.JoinedTerm(), presentTerm(seen, reached, called))
+		present = max(g.JoinedTerm(), call.PresentTerm(seen))
 		c := leadership.Candidates{Targets: seen, Except: leadership.PrimariesOf(seen, present), MinTerm: present, SyncReplicas: g.Limits().SyncReplicas}
 		if old != nil {
 			c.Except[old.Info().ID] = true
@@ -54,16 +53,3 @@
 	metrics.GetOrCreateCounter(`laburnumrack_promotions_delayed_total{reason="no_successor"}`).Inc()
 	return 0, fmt.Errorf("%w: group %s, term %d", leadership.ErrNoSuccessor, g.Name, present)
 }
-
-// presentTerm returns the newest term that may have a primary, if promote calls may have led to
-// the reached one. A called target that answers and has not joined it shows that its call has
-// had no effect.
-func presentTerm(seen []leadership.Observation, reached position.Term, called string) position.Term {
-	withoutEffect := slices.ContainsFunc(seen, func(o leadership.Observation) bool {
-		return o.ID == called && o.Reached && o.Status.Term < reached
-	})
-	if withoutEffect {
-		return reached - 1
-	}
-	return reached
-}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -74,6 +74,27 @@
 	return Leader{}, false
 }
 
+// PromoteCall is what the record of the promotion lock tells of the promote calls for a
+// group.
+type PromoteCall struct {
+	// Term is the highest term to which a call may have led; 0 if there was none.
+	Term position.Term
+	// Target is the target of the last call, empty if it is not known.
+	Target string
+}
+
+// PresentTerm returns the newest term that may have a primary after the given call. A called
+// target that answers and has not joined the term shows that the call has had no effect. One
+// that does not answer, or that has left the list, may lead the term or have led it.
+func (c PromoteCall) PresentTerm(targets []Observation) position.Term {
+	for _, t := range targets {
+		if t.ID == c.Target && t.Reached && t.Status.Term < c.Term {
+			return c.Term - 1
+		}
+	}
+	return c.Term
+}
+
 // Reason is the reason for a promotion.
 type Reason string
 
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -37,7 +37,7 @@
 }
 
 // RecentRecord implements peer.IntentSource.
-func (i relayIntents) RecentRecord() (primarylease.Record, bool) {
+func (i relayIntents) RecentRecord() (*primarylease.Record, bool) {
 	if i.relays.HeadRelay() != nil {
 		return i.followed.RecentRecord()
 	}
@@ -64,18 +64,21 @@
 	return record, err
 }
 
-// read reads the intents from the relay or the store.
+// read reads the intents from the relay or the store. If none of them answers, it returns the
+// newest outdated record of a relay, if there is any, and errNoSource.
 func (r *relayIntentReader) read() (primarylease.Record, error) {
+	var outdated primarylease.Record
 	if relay := r.relays.Relay(); relay != nil {
 		record, err := relay.Intents()
 		if err == nil {
 			return record, nil
 		}
+		outdated = record
 		if errors.Is(err, peer.ErrNotCurrent) {
 			r.relays.RelayOutdated(relay.Name())
 		}
 		if failed := r.failedAt.Load(); failed != 0 && errors.Is(err, peer.ErrNotCurrent) && boottime.Now()-time.Duration(failed) < intentReadPause {
-			return primarylease.Record{}, errNoSource
+			return outdated, errNoSource
 		}
 	}
 	if record, ok := r.readHead(); ok {
@@ -86,7 +89,7 @@
 		defer close(direct)
 		if record, ok := r.direct.RecentRecord(); ok {
 			r.failedAt.Store(0)
-			direct <- &record
+			direct <- record
 			return
 		}
 		r.failedAt.Store(int64(boottime.Now()))
@@ -100,13 +103,17 @@
 		}
 	case <-timer.C:
 	}
-	if record, err := r.readOtherDomain(); err == nil {
+	record, err := r.readOtherDomain()
+	if err == nil {
 		return record, nil
 	}
+	if record.ReadStart > outdated.ReadStart {
+		outdated = record
+	}
 	if record := <-direct; record != nil {
 		return *record, nil
 	}
-	return primarylease.Record{}, errNoSource
+	return outdated, errNoSource
 }
 
 // readHead reads the intents from the head relay, if this daemon follows one, and reports
@@ -143,7 +150,8 @@
 
 // readOtherDomain reads the intents from a relay of another failure domain, which the store
 // may serve although it refuses this VM. The age that the relay reports counts, as for any
-// relay. After a failure it returns errNoSource for intentReadPause.
+// relay. After a failure it returns errNoSource for intentReadPause, the first time with the
+// outdated record of the relay.
 func (r *relayIntentReader) readOtherDomain() (primarylease.Record, error) {
 	relay := r.relays.NearestOtherRelay()
 	if failed := r.otherFailedAt.Load(); relay == nil || failed != 0 && boottime.Now()-time.Duration(failed) < intentReadPause {
@@ -152,7 +160,7 @@
 	record, err := relay.Intents()
 	if err != nil {
 		r.otherFailedAt.Store(int64(boottime.Now()))
-		return primarylease.Record{}, fmt.Errorf("%w: %w", errNoSource, err)
+		return record, fmt.Errorf("%w: %w", errNoSource, err)
 	}
 	return record, nil
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/freshness"
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/primarylease"
 	"github.com/laburnumrack/laburnumrack/internal/query"
@@ -312,7 +313,11 @@
 }
 
 // fakeRelay answers watches and requests for intents.
-type fakeRelay struct{ readStart time.Duration }
+type fakeRelay struct {
+	readStart time.Duration
+	// outdated tells that the record was not read a moment ago.
+	outdated bool
+}
 
 func (fakeRelay) Watch(ctx context.Context, r WatchRequest) WatchResponse {
 	if r.From == 0 {
@@ -322,11 +327,12 @@
 	return WatchResponse{Current: true, Page: store.Page{Revision: r.From}}
 }
 
-func (r fakeRelay) RecentRecord() (primarylease.Record, bool) {
-	return primarylease.Record{
+func (r fakeRelay) RecentRecord() (*primarylease.Record, bool) {
+	return &primarylease.Record{
 		Intents: map[string]position.Term{"g": 3}, ReadStart: r.readStart,
 		Read: store.Point{Era: 4, Revision: 11}, WrittenIn: 3, Unsettled: []string{"h"},
-	}, true
+		Unused: []string{"i"}, Called: map[string]string{"g": "t"}, RecordsCalls: true,
+	}, !r.outdated
 }
 
 // fakePositions has samples of groups.
@@ -357,6 +363,18 @@
 		So(r.Read, ShouldResemble, store.Point{Era: 4, Revision: 11})
 		So(r.WrittenIn, ShouldEqual, store.Era(3))
 		So(r.Unsettled, ShouldResemble, []string{"h"})
+		call, known := r.LastCall("g")
+		So(known, ShouldBeTrue)
+		So(call, ShouldResemble, leadership.PromoteCall{Term: 3, Target: "t"})
+		So(r.Unused, ShouldResemble, []string{"i"})
+	})
+	Convey("A relay that has lost the store tells what it knows of earlier promote calls", t, func() {
+		source := fakeRelay{readStart: boottime.Now() - time.Minute, outdated: true}
+		c, _ := startServer(t, &Server{Name: "relay", Opener: &echoHome{}, Intents: source}, "relay")
+		r, err := c.Intents()
+		So(errors.Is(err, ErrNotCurrent), ShouldBeTrue)
+		So(r.ReadStart, ShouldBeLessThanOrEqualTo, source.readStart)
+		So(r.Called, ShouldResemble, map[string]string{"g": "t"})
 	})
 	Convey("A home answers requests for the position of a primary", t, func() {
 		source := fakePositions{"g": {At: boottime.Now() - 300*time.Millisecond, Position: position.Position{Term: 2, Index: 9}}}
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -122,7 +122,9 @@
 	Intents map[string]position.Term `cbor:"1,keyasint,omitempty"`
 	// Age is the time since the relay started to read the store.
 	Age time.Duration `cbor:"2,keyasint"`
-	// Current is true if the relay has read the store.
+	// Current is true if the relay has read the store a moment ago. Otherwise the fields about
+	// the record are those of the newest one, if there is any. Earlier releases send and read
+	// only current ones.
 	Current bool `cbor:"3,keyasint,omitempty"`
 	// Version is the revision of the object that the relay read, in Era.
 	Version store.Revision `cbor:"4,keyasint,omitempty"`
@@ -131,11 +133,18 @@
 	WrittenIn store.Era `cbor:"6,keyasint,omitempty"`
 	// Unsettled names the groups whose promotions in earlier eras are not known.
 	Unsettled []string `cbor:"7,keyasint,omitempty"`
+	// Unused, Called and RecordsCalls are those of primarylease.Record. Earlier releases send
+	// none of them.
+	Unused       []string          `cbor:"8,keyasint,omitempty"`
+	Called       map[string]string `cbor:"9,keyasint,omitempty"`
+	RecordsCalls bool              `cbor:"10,keyasint,omitempty"`
 }
 
-// IntentSource returns the intents of promotions, and false if they are unknown.
+// IntentSource returns the intents of promotions.
 type IntentSource interface {
-	RecentRecord() (primarylease.Record, bool)
+	// RecentRecord returns a record that was read a moment ago, or the newest one, which may be
+	// nil, and false.
+	RecentRecord() (*primarylease.Record, bool)
 }
 
 func (c *serverConn) answerIntents(id uint64, fromStore bool) {
@@ -145,10 +154,11 @@
 		source = c.server.StoreIntents
 	}
 	if source != nil && !c.server.leaving.Load() {
-		if r, ok := source.RecentRecord(); ok {
+		if r, current := source.RecentRecord(); r != nil {
 			answer = IntentsResponse{
-				Intents: r.Intents, Age: boottime.Now() - r.ReadStart, Current: true,
+				Intents: r.Intents, Age: boottime.Now() - r.ReadStart, Current: current,
 				Version: r.Read.Revision, Era: r.Read.Era, WrittenIn: r.WrittenIn, Unsettled: r.Unsettled,
+				Unused: r.Unused, Called: r.Called, RecordsCalls: r.RecordsCalls,
 			}
 		}
 	}
@@ -158,7 +168,9 @@
 
 // Intents asks the peer, as a relay, for the intents of promotions. The start of the read
 // in the record is the start of this call minus the age that the relay reports, so the
-// record never counts as younger than the relay's read of the store.
+// record never counts as younger than the relay's read of the store. If the relay has no
+// current record, the error wraps ErrNotCurrent, and the record is the newest one that the
+// relay has, of era 0 if it has none.
 func (c *Client) Intents() (primarylease.Record, error) {
 	return c.intents(request{Intents: true})
 }
@@ -181,14 +193,19 @@
 	if err != nil {
 		return primarylease.Record{}, fmt.Errorf("get intents from peer %s: %w", c.name, err)
 	}
-	if answer.Intents == nil || !answer.Intents.Current || answer.Intents.Era == 0 {
+	i := answer.Intents
+	if i == nil || i.Era == 0 {
 		return primarylease.Record{}, fmt.Errorf("get intents from peer %s: %w", c.name, ErrNotCurrent)
 	}
-	i := answer.Intents
-	return primarylease.Record{
+	record := primarylease.Record{
 		Intents: i.Intents, ReadStart: start - i.Age, Read: store.Point{Era: i.Era, Revision: i.Version},
 		WrittenIn: i.WrittenIn, Unsettled: i.Unsettled,
-	}, nil
+		Unused: i.Unused, Called: i.Called, RecordsCalls: i.RecordsCalls,
+	}
+	if !i.Current {
+		return record, fmt.Errorf("get intents from peer %s: %w", c.name, ErrNotCurrent)
+	}
+	return record, nil
 }
 
 // IsReachable reports whether the peer responds, even if it has no current copy.
--- a/internal/primarylease/primarylease.go
+++ b/internal/primarylease/primarylease.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
+	"github.com/laburnumrack/laburnumrack/internal/leadership"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/store"
 )
@@ -60,6 +61,26 @@
 	// Unsettled names the groups that may have been promoted in an earlier era to a term
 	// that is not in Intents.
 	Unsettled []string
+	// Unused names the groups to whose intended term no promote call can have led.
+	Unused []string
+	// Called maps a group to the target of its last promote call.
+	Called map[string]string
+	// RecordsCalls tells that Unused and Called are known. Earlier releases don't write or
+	// send them.
+	RecordsCalls bool
+}
+
+// LastCall returns what the record tells of the promote calls for a group. It reports false if
+// the record tells nothing of calls.
+func (r *Record) LastCall(group string) (leadership.PromoteCall, bool) {
+	if r == nil || !r.RecordsCalls {
+		return leadership.PromoteCall{}, false
+	}
+	term := r.Intents[group]
+	if term > 0 && slices.Contains(r.Unused, group) {
+		term--
+	}
+	return leadership.PromoteCall{Term: term, Target: r.Called[group]}, true
 }
 
 // Verdict is the result of checking an answer against a record.
@@ -95,7 +116,8 @@
 // Reader reads the promotion intents from the store.
 type Reader interface {
 	// ReadIntents returns the intents. Reads must be linearizable: the record shows
-	// every change that was acknowledged before the read started.
+	// every change that was acknowledged before the read started. With an error, the record
+	// may be an older one that another daemon has read, if its Read is not zero.
 	ReadIntents(ctx context.Context) (Record, error)
 }
 
@@ -144,12 +166,19 @@
 	return Expired
 }
 
+// Newest returns the newest record, however old it is, and nil before the first one. What it
+// tells of calls that were made stays true after it has expired.
+func (c *Checker) Newest() *Record {
+	return c.record.Load()
+}
+
 // RecentRecord returns a record younger than maxRelayAge, for use by other daemons, and
-// renews the record if needed. It reports false if the store does not answer.
-func (c *Checker) RecentRecord() (Record, bool) {
+// renews the record if needed. If the store does not answer, it returns the newest record, nil
+// if there is none, and false.
+func (c *Checker) RecentRecord() (*Record, bool) {
 	for range 2 {
 		if r := c.record.Load(); r != nil && boottime.Now()-r.ReadStart < maxRelayAge {
-			return *r, true
+			return r, true
 		}
 		done, ok := c.renew()
 		if !ok {
@@ -157,7 +186,7 @@
 		}
 		<-done
 	}
-	return Record{}, false
+	return c.record.Load(), false
 }
 
 // renew starts a renewal unless one is running or one has failed within renewBackoff,
@@ -192,7 +221,9 @@
 	c.failedAt = 0
 	if err != nil {
 		c.failedAt = boottime.Now()
-	} else if old := c.record.Load(); old == nil || old.ReadStart < r.ReadStart {
+	}
+	known := err == nil || r.Read != store.Point{}
+	if old := c.record.Load(); known && (old == nil || old.ReadStart < r.ReadStart) {
 		c.record.Store(&r)
 	}
 	close(done)
