Recognise a write of the promotion lock by its whole value

Cause: after a write without an answer, LockManager.write compared the token and the number of writes of the record that it read back with its own. Two writes that replace the same version have the same number. The first one, for another group, had been applied late, and was taken for the second one.

Change: the record that is read back has to equal the one that was written. Before the promote call the promoter also checks that the known record has the intent of the group.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -428,6 +428,9 @@
 	if err := a.checkTerm(); err != nil {
 		return PromoteBusy, err
 	}
+	if intended := a.PromotionLock.IntendedTerm(a.group.Name); intended < a.term {
+		return PromoteBusy, fmt.Errorf("the store has no intent for term %d of group %s, only for %d", a.term, a.group.Name, intended)
+	}
 	ctx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
 	answer, err := a.Client.Promote(ctx, a.group.Name, target, a.lock)
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -4,6 +4,7 @@
 package failover
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -388,6 +389,14 @@
 	return nil
 }
 
+// IntendedTerm returns the highest term that the group may be promoted to, according to the
+// record that was last read or written.
+func (m *LockManager) IntendedTerm(group string) position.Term {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.record.Intents[group]
+}
+
 // Observe processes a change of an object of KindLock. If the object carries a promotion
 // request, Observe returns its group and term and true.
 func (m *LockManager) Observe(o store.Object) (group string, term position.Term, ok bool) {
@@ -509,7 +518,8 @@
 		if err := m.read(ctx); err != nil {
 			return err
 		}
-		if m.holdsLock() && m.record.Token == r.Token && m.record.Acts == r.Acts {
+		// Another write of this daemon that replaced the same version may have been applied late.
+		if m.holdsLock() && m.record.equal(value) {
 			m.writtenAt = started
 			return nil
 		}
@@ -517,6 +527,13 @@
 	return fmt.Errorf("write the promotion lock: %w", err)
 }
 
+// equal reports whether the record is the one with the given encoding. The store may encode the
+// value of an object in another way than it was sent.
+func (r lockRecord) equal(encoded []byte) bool {
+	own, err := json.Marshal(r)
+	return err == nil && bytes.Equal(own, encoded)
+}
+
 // adopt makes o the known object, and notes since when its version has been unchanged.
 // m.mu must be held.
 func (m *LockManager) adopt(o store.Object) error {
--- a/internal/failover/promotion_lock_test.go
+++ b/internal/failover/promotion_lock_test.go
@@ -23,8 +23,12 @@
 	// lostAnswers is the number of next writes that take effect but return
 	// ErrOutcomeUnknown.
 	lostAnswers int
-	down        bool
-	puts        int
+	// delayed is the number of next writes that return ErrOutcomeUnknown and that applyLate
+	// may apply, if their condition still holds.
+	delayed int
+	late    []store.Object
+	down    bool
+	puts    int
 	// era is the present era; beforePut, if set, is called once before the next Put takes
 	// effect.
 	era       store.Era
@@ -68,6 +72,11 @@
 		s.beforePut = nil
 		before()
 	}
+	if s.delayed > 0 {
+		s.delayed--
+		s.late = append(s.late, o)
+		return store.Object{}, store.ErrOutcomeUnknown
+	}
 	if current := s.objects[o.Key]; current.Version != o.Version {
 		current.Era = s.era
 		return store.Object{}, &store.ConflictError{Key: o.Key, Current: current}
@@ -82,6 +91,15 @@
 	return o, nil
 }
 
+// applyLate applies the delayed writes whose condition still holds.
+func (s *fakeStore) applyLate() {
+	late := s.late
+	s.late = nil
+	for _, o := range late {
+		_, _ = s.Put(context.Background(), o)
+	}
+}
+
 // fakeClock is the clock of all lock managers of a test.
 type fakeClock struct {
 	mu  sync.Mutex
