Count replicas that have left the list as missing in a promotion

Cause: HoldsSuffice counts the replicas that may have a commit among the listed targets only. A planned replacement had the same gap: it demoted the primary although no replica kept up, and promoted one after 0.8 s.

Change: the holder of the promotion lock records the members of each group with synchronous replicas, the targets that may have received commits. A member that has left the list counts as missing. It is given up once it does not answer and enough others have the log of the primary, or after a minute. Targets of such groups are kept for a minute without requests, to tell one that is gone from one that is only cut off from the store. A draining primary serves until a replica keeps up, and a demoted one, which has the whole log, may be promoted again. Without synchronous replicas nothing changes.

--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -71,7 +71,12 @@
 	// is not, no conclusion is drawn that depends on seeing all targets.
 	listComplete func() bool
 
-	leader  atomic.Pointer[LeaderView]
+	leader atomic.Pointer[LeaderView]
+	// lastLeader is the last leader that was known.
+	lastLeader atomic.Pointer[leadership.Leader]
+	// former are the targets that have left the list and are kept only to learn whether they
+	// still run.
+	former  atomic.Pointer[[]*Target]
 	targets atomic.Pointer[[]*Target]
 	limits  atomic.Pointer[catalog.GroupLimits]
 	// tenants reports whether the deployment has tenants.
@@ -104,6 +109,7 @@
 		checkNow: make(chan struct{}, 1), leaderChanged: make(chan struct{}),
 	}
 	g.targets.Store(&[]*Target{})
+	g.former.Store(&[]*Target{})
 	g.limits.Store(&catalog.GroupLimits{Name: name})
 	g.confirmer.group, g.refresh.group = g, g
 	return g
@@ -114,6 +120,14 @@
 	return g.leader.Load()
 }
 
+// LastLeader returns the last leader that was known. It reports false if none was.
+func (g *Group) LastLeader() (leadership.Leader, bool) {
+	if l := g.lastLeader.Load(); l != nil {
+		return *l, true
+	}
+	return leadership.Leader{}, false
+}
+
 // Targets returns the listed targets. The slice must not be modified.
 func (g *Group) Targets() []*Target {
 	return *g.targets.Load()
@@ -292,6 +306,7 @@
 		g.Log.StateChange("leader_lost", "group", g.Name, "target", old.ID, "term", old.Term, "known_term", g.KnownTerm())
 		return
 	}
+	g.lastLeader.Store(&l.Leader)
 	g.Log.StateChange("leader_found", "group", g.Name, "target", l.ID, "term", l.Term)
 }
 
--- a/internal/backend/observe.go
+++ b/internal/backend/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
@@ -60,3 +61,26 @@
 	o.Refused = o.Refused && !o.Reached && !errors.As(err, &refused)
 	return o
 }
+
+// AnyFormerAnswers reports whether one of the targets with the given IDs, which have left the
+// list, still answers: it may only be cut off from the store.
+func (g *Group) AnyFormerAnswers(ctx context.Context, ids []string) bool {
+	var asked []*Target
+	for _, t := range *g.former.Load() {
+		if slices.Contains(ids, t.Info().ID) {
+			asked = append(asked, t)
+		}
+	}
+	answers := make(chan bool, len(asked))
+	for _, t := range asked {
+		go func() {
+			_, err := t.Control(ctx, query.Statement{Kind: query.Status})
+			answers <- err == nil
+		}()
+	}
+	answered := false
+	for range asked {
+		answered = <-answers || answered
+	}
+	return answered
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -20,6 +20,10 @@
 // have expired during an outage of the store, and is then back within two seconds.
 const unlistedRetention = 2500 * time.Millisecond
 
+// formerRetention is how long a target of a group with synchronous replicas is kept after it
+// left the list, to learn whether it still runs. It gets no requests after unlistedRetention.
+const formerRetention = time.Minute
+
 // listSettleTime is how long after a listing entries may return that expired during an
 // outage of the store. Until then, groups may have unlisted targets.
 const listSettleTime = 3 * time.Second
@@ -72,6 +76,8 @@
 	target *Target
 	// unlistedAt is when the target left the list; zero while it is listed.
 	unlistedAt time.Time
+	// former tells that the target is not one of the group's targets any more.
+	former bool
 }
 
 // NewRegistry returns a registry without groups. The monitors of its groups run until ctx
@@ -225,6 +231,7 @@
 		// A restarted target has lost its connections and its state, so it is replaced,
 		// as is one with another address or group.
 		if old.Address == info.Address && old.Group == info.Group && old.Incarnation == info.Incarnation {
+			r.restoreLocked(entry)
 			return
 		}
 		r.dropLocked(info.ID)
@@ -237,6 +244,18 @@
 	g.TriggerCheck()
 }
 
+// restoreLocked makes a former target that is listed again one of the group's targets. r.mu
+// must be held.
+func (r *Registry) restoreLocked(entry *targetEntry) {
+	if !entry.former {
+		return
+	}
+	entry.former = false
+	g := r.groupLocked(entry.target.Info().Group)
+	r.publishTargets(g)
+	g.TriggerCheck()
+}
+
 // unlistLocked marks a target as unlisted. r.mu must be held.
 func (r *Registry) unlistLocked(id string) {
 	entry := r.targets[id]
@@ -265,13 +284,18 @@
 
 // publishTargets updates the targets of a group and their limits. r.mu must be held.
 func (r *Registry) publishTargets(g *Group) {
-	targets := []*Target{}
+	targets, former := []*Target{}, []*Target{}
 	for _, entry := range r.targets {
-		if entry.target.Info().Group == g.Name {
+		switch {
+		case entry.target.Info().Group != g.Name:
+		case entry.former:
+			former = append(former, entry.target)
+		default:
 			targets = append(targets, entry.target)
 		}
 	}
 	g.targets.Store(&targets)
+	g.former.Store(&former)
 	g.applyLimits()
 }
 
@@ -295,10 +319,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, entry := range r.targets {
-		if !entry.unlistedAt.IsZero() && now.Sub(entry.unlistedAt) > unlistedRetention {
+		g := r.groupLocked(entry.target.Info().Group)
+		retention := unlistedRetention
+		if g.Limits().SyncReplicas > 0 {
+			retention = formerRetention
+		}
+		switch unlistedFor := now.Sub(entry.unlistedAt); {
+		case entry.unlistedAt.IsZero() || unlistedFor <= unlistedRetention:
+		case unlistedFor > retention:
 			r.dropLocked(id)
 			continue
+		case !entry.former:
+			entry.former = true
+			r.publishTargets(g)
+			g.TriggerCheck()
+			r.Log.StateChange("target_retired", "target", id, "group", g.Name, "kept_ms", formerRetention.Milliseconds())
 		}
-		entry.target.Pool.Trim(now, r.groupLocked(entry.target.Info().Group).inUse())
+		entry.target.Pool.Trim(now, g.inUse())
 	}
 }
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -57,6 +57,7 @@
 // retiredPrimary is a primary that was demoted while it led a term: no commit of the term comes
 // after the end of its log. It stays true for later attempts, should the first one fail.
 type retiredPrimary struct {
+	id   string
 	term position.Term
 	end  position.Position
 }
@@ -112,6 +113,8 @@
 	// minTerm is the term that a target must have joined to be promoted.
 	minTerm position.Term
 	lock    PromotionLock
+	// needed is how long the promotion has been needed.
+	needed time.Duration
 }
 
 // Promote makes another target the primary of g, for the given reason; since is how long
@@ -135,7 +138,11 @@
 	if err := checkNotJoined(g, term); err != nil {
 		return err
 	}
-	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, minTerm: minTerm}
+	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, minTerm: minTerm, needed: since}
+	a.keepRetired()
+	if err := a.checkSuccessor(ctx); err != nil {
+		return err
+	}
 	lock, err := p.PromotionLock.Acquire(ctx, g.Name, term, since)
 	if err != nil {
 		if errors.Is(err, ErrOtherHolder) {
@@ -144,6 +151,7 @@
 		return err
 	}
 	a.lock = lock
+	a.noteAbandoned()
 	p.Log.StateChange("promotion_begins", "group", g.Name, "reason", string(reason), "term", term, "token", lock.Token, "since_ms", since.Milliseconds())
 	target, err := a.run(ctx, reason)
 	if err != nil || target == "" {
@@ -254,12 +262,50 @@
 		return nil
 	}
 	if leads {
-		a.retired.Store(a.group.Name, retiredPrimary{term: a.term - 1, end: end})
+		a.retired.Store(a.group.Name, retiredPrimary{id: a.oldID(), term: a.term - 1, end: end})
 	}
 	a.awaitCatchUp(ctx, end)
+	a.keepRetired()
 	return nil
 }
 
+// keepRetired makes a primary that this daemon has demoted a candidate like the other
+// replicas, if commits are acknowledged only after replicas received them: it may be the only
+// one that has all of them.
+func (a *attempt) keepRetired() {
+	known, ok := a.retired.Load(a.group.Name)
+	if !ok || a.group.Limits().SyncReplicas == 0 {
+		return
+	}
+	if retired := known.(retiredPrimary); retired.term == a.term-1 && retired.id == a.oldID() {
+		a.old = nil
+	}
+}
+
+// checkSuccessor returns leadership.ErrNoSuccessor if the primary is to be replaced because it
+// is draining, commits are acknowledged only after replicas received them, and no replica that
+// stays keeps up with it. The primary serves on meanwhile; a demotion would stop the replicas
+// from receiving the rest of its log.
+func (a *attempt) checkSuccessor(ctx context.Context) error {
+	if a.group.Limits().SyncReplicas == 0 || a.old == nil || !a.old.Info().Draining {
+		return nil
+	}
+	observed := a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
+	primary := slices.IndexFunc(observed, func(o leadership.Observation) bool {
+		return o.ID == a.oldID() && o.Reached && o.Status.Primary && o.Status.Term == a.term-1
+	})
+	if primary < 0 || leadership.HighestTerm(observed) >= a.term {
+		// A replica that an earlier attempt has left held can't catch up.
+		return nil
+	}
+	end := observed[primary].Status.Received
+	if awaitLog(ctx, a.group, catchUpTimeout, 1, func(o leadership.Observation) bool { return !o.Draining && a.covers(o, end) }) {
+		return nil
+	}
+	metrics.GetOrCreateCounter(`laburnumrack_promotions_delayed_total{reason="no_replica_keeps_up"}`).Inc()
+	return fmt.Errorf("%w: no replica of group %s keeps up with its draining primary", leadership.ErrNoSuccessor, a.group.Name)
+}
+
 // checkLock returns ErrOtherHolder if this daemon is known not to hold the promotion lock any
 // more, for example because the store has lost its record. It is checked before the steps
 // that keep the group from serving, which only a promotion ends. It makes no call.
@@ -310,16 +356,7 @@
 // awaitCatchUp waits, up to catchUpTimeout, until a replica that isn't draining has
 // received everything up to end.
 func (a *attempt) awaitCatchUp(ctx context.Context, end position.Position) {
-	deadline := boottime.Now() + catchUpTimeout
-	for boottime.Now() < deadline && ctx.Err() == nil {
-		caughtUp := func(seen []leadership.Observation) bool {
-			return slices.ContainsFunc(seen, func(o leadership.Observation) bool { return !o.Draining && a.covers(o, end) })
-		}
-		if caughtUp(a.group.Observe(ctx, query.Statement{Kind: query.Status}, nil, caughtUp)) {
-			return
-		}
-		ctxtime.Sleep(ctx, pollInterval)
-	}
+	awaitLog(ctx, a.group, catchUpTimeout, 1, func(o leadership.Observation) bool { return !o.Draining && a.covers(o, end) })
 }
 
 // holdReplicas holds the replicas at the new term until leadership.HoldsSuffice reports
@@ -349,6 +386,9 @@
 			syncReplicas = 0
 		}
 	}
+	if syncReplicas > 0 {
+		seen = a.withAbsentMembers(seen)
+	}
 	return leadership.HoldsSuffice(seen, a.oldID(), a.term, syncReplicas)
 }
 
@@ -358,7 +398,7 @@
 	return o.Reached && o.ID != a.oldID() && o.Status.Received.Covers(end)
 }
 
-// oldID returns the ID of the primary to replace, empty if it is unknown.
+// oldID returns the ID of the primary to replace, empty if it is unknown or a candidate itself.
 func (a *attempt) oldID() string {
 	if a.old == nil {
 		return ""
@@ -366,6 +406,16 @@
 	return a.old.Info().ID
 }
 
+// absentPrimary returns the ID of the primary of the present term if it has left the list,
+// empty if it is listed or unknown.
+func (a *attempt) absentPrimary() string {
+	l, ok := a.group.LastLeader()
+	if !ok || l.Term != a.term-1 || a.group.FindTarget(l.ID) != nil {
+		return ""
+	}
+	return l.ID
+}
+
 // markRefused changes the observation of a target: the platform has answered that no process
 // runs there.
 func markRefused(observed []leadership.Observation, id string) {
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -88,6 +88,9 @@
 	// Called maps each group to the target of the last promote call. A release that doesn't
 	// know the field drops it, and any target may have been called then.
 	Called map[string]string `json:"called,omitempty"`
+	// Members maps each group whose commits wait for replicas to its members, see members.go. A
+	// release that doesn't know the field drops it, and only listed targets count then.
+	Members map[string][]string `json:"members,omitempty"`
 	// RecordsCalls tells that the last writer of the record knew UnusedIntents and Called. A
 	// release that doesn't know them drops it.
 	RecordsCalls bool `json:"records_calls,omitempty"`
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -124,6 +124,22 @@
 	tc.store.Put("config", "main", configuration)
 }
 
+// declareSyncReplica writes a configuration in which one replica receives each commit before it
+// is acknowledged, and waits until the daemons know it.
+func (tc *testCluster) declareSyncReplica() {
+	tc.t.Helper()
+	tc.syncReplicas = 1
+	tc.configure(dbCurrent)
+	tc.eventually(2*time.Second, "the daemons know that commits wait for a replica", func() bool {
+		for _, n := range tc.nodes {
+			if n.registry.Group("grp").Limits().SyncReplicas != 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // start starts a daemon on free ports.
 func (tc *testCluster) start(name, zone string) *Node {
 	tc.t.Helper()
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -369,16 +369,7 @@
 func TestDrainingReplicaHasCommits(t *testing.T) {
 	Convey("With synchronous replicas, commits that only a draining replica has are kept when the primary crashes", t, func() {
 		tc := newTestCluster(t, "north", "south", "west")
-		tc.syncReplicas = 1
-		tc.configure(dbCurrent)
-		tc.eventually(2*time.Second, "the daemons know that commits wait for a replica", func() bool {
-			for _, n := range tc.nodes {
-				if n.registry.Group("grp").Limits().SyncReplicas != 1 {
-					return false
-				}
-			}
-			return true
-		})
+		tc.declareSyncReplica()
 		const lag = 2 * time.Second
 		tc.group.SetLag(2, lag)
 		c := tc.connect(tc.nodes[2], dbCurrent)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	peerServer    *peer.Server
 	limiter       *ratelimit.Limiter
 	promotionLock *failover.LockManager
+	promoter      *failover.Promoter
 	store         *platform.Store
 	log           *eventlog.Log
 
@@ -130,13 +131,13 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.promotionLock = failover.NewLockManager(n.store, settings.Name, uuid.NewString(), n.log)
-	promoter := &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
+	n.promoter = &failover.Promoter{PromotionLock: n.promotionLock, Client: platform.NewPromotionClient(settings.PromotionAddress), Log: n.log}
 	locality := backend.Locality{FailureDomain: settings.FailureDomain, Regions: settings.Regions}
 	relayReader := &relayIntentReader{direct: primarylease.New(n.promotionLock), promotionLock: n.promotionLock}
 	peers := &peerPositions{}
 	lease := primarylease.New(relayReader)
 	n.registry = backend.NewRegistry(n.ctx, backend.Dependencies{
-		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: promoter, PrimaryLease: lease, DrainTime: settings.DrainTime, Log: n.log,
+		Locality: locality, Peers: peers, Dialer: platform.TargetDialer{}, Promoter: n.promoter, PrimaryLease: lease, DrainTime: settings.DrainTime, Log: n.log,
 	})
 	local := executor.New(n.registry, n.log)
 	local.Configuration = &n.configuration
--- a/internal/node/promotion_lock.go
+++ b/internal/node/promotion_lock.go
@@ -88,6 +88,9 @@
 		if err := n.promotionLock.Settle(ctx); err != nil && ctx.Err() == nil {
 			n.log.StateChange("eras_not_settled", "error", err.Error())
 		}
+		if err := n.promoter.TrackMembers(ctx, n.registry.Groups()); err != nil && ctx.Err() == nil {
+			n.log.StateChange("members_not_recorded", "error", err.Error())
+		}
 	}
 }
 
