--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -79,6 +79,9 @@
 	former  atomic.Pointer[[]*Target]
 	targets atomic.Pointer[[]*Target]
 	limits  atomic.Pointer[catalog.GroupLimits]
+	// declared reports whether the configuration has the group. One that it does not have may
+	// stand in an entry of another program.
+	declared atomic.Bool
 	// tenants reports whether the deployment has tenants.
 	tenants atomic.Bool
 	// lastUsed is the time since boot at which a unit was last opened.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -154,8 +154,13 @@
 func (r *Registry) Declare(c *catalog.Configuration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, g := range r.Groups() {
+		_, declared := c.Groups[g.Name]
+		g.declared.Store(declared)
+	}
 	for name, limits := range c.Groups {
 		g := r.groupLocked(name)
+		g.declared.Store(true)
 		g.limits.Store(&limits)
 		g.tenants.Store(c.Tenants != nil)
 		g.applyLimits()
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,7 +4,9 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -64,6 +66,7 @@
 	era            uint64                   // guarded by mu; announced in every answer
 	announcesEra   bool                     // guarded by mu
 	copies         []storeCopy              // guarded by mu; by time
+	raw            map[string]string        // guarded by mu; specs of PutRaw, by the encoded text that stands for them
 	server         *http.Server
 }
 
@@ -75,7 +78,7 @@
 	}
 	s := &Store{
 		Address: l.Addr().String(), revision: 1, objects: map[string]*object{}, changed: make(chan struct{}),
-		callCounts: map[string]int{}, delays: map[string]time.Duration{}, lists: map[string]int{}, era: 1,
+		callCounts: map[string]int{}, delays: map[string]time.Duration{}, lists: map[string]int{}, era: 1, raw: map[string]string{},
 	}
 	s.keepCopy()
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
@@ -139,6 +142,31 @@
 	s.putLocked(kind, name, data)
 }
 
+// PutRaw writes an object in the place of another program, with a spec that need not be JSON
+// that can be decoded.
+func (s *Store) PutRaw(kind, name, spec string) {
+	placeholder := fmt.Sprintf("%q", "raw spec of "+kind+"/"+name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw[placeholder] = spec
+	s.putLocked(kind, name, json.RawMessage(placeholder))
+}
+
+// writeAnswer encodes an answer, with the specs of PutRaw in it.
+func (s *Store) writeAnswer(w io.Writer, answer any) {
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	for placeholder, spec := range s.raw {
+		data = bytes.ReplaceAll(data, []byte(placeholder), []byte(spec))
+	}
+	s.mu.Unlock()
+	// A client that has gone needs no answer.
+	_, _ = w.Write(data)
+}
+
 // Remove removes an object if it exists.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -203,7 +231,7 @@
 	s.announceEra(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer)
+	s.writeAnswer(w, answer)
 }
 
 // losesAnswers reports whether the current fault is AnswersLost.
