Refuse a write in a transaction that was begun for reads

Such a transaction has no leader, also if it runs at the primary, which ran the write; a replica refuses it. The executor now refuses it before it is sent.

TestWriteInReadTransaction fails without it.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -103,6 +103,8 @@
 	switch {
 	case u.tx != nil && r.statement.Kind == query.Commit:
 		return e.commit(r)
+	case u.tx != nil && r.writes && !u.header.Begin.Writes:
+		return e.refuseWriteInRead(r)
 	case u.tx != nil:
 		return e.runInTransaction(r)
 	case r.writes:
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -42,6 +42,16 @@
 	return a
 }
 
+// refuseWriteInRead refuses a write in a transaction that was begun for reads only, and rolls
+// the transaction back. A replica would refuse the write too, but the primary would run it,
+// although units that only read may be run again at another home.
+func (e *Executor) refuseWriteInRead(r *request) query.Answer {
+	r.unit.Close()
+	a := e.refuseNotRun(r, query.ReadOnly, "write_in_read_transaction")
+	a.State = query.Failed
+	return a
+}
+
 // handleTransactionError handles an error answer of the target, which has rolled the
 // transaction back or will do so. The transaction is begun again if the statement did not
 // run, for example because the target was busy, and the caller has had no answer in it.
