Roll back a transaction whose key has moved to another tenant

Change: it is rolled back, at the gateway and at the home, with ABORTED.

Two tests asked for the opposite. TestCheckHeader loses the case that allowed it, and the two begun cases that are now the same call as those before them.

--- a/internal/executor/tenant.go
+++ b/internal/executor/tenant.go
@@ -21,10 +21,8 @@
 )
 
 // checkHeader returns the denial of a unit, with the code query.OK if c allows it. A
-// configuration older than the gateway's may not know the tenant yet and denies nothing. A
-// unit that has begun on a target goes on if its key has moved to another tenant and its
-// own is still declared.
-func checkHeader(c *catalog.Configuration, h stmtunit.Header, begun bool) denial {
+// configuration older than the gateway's may not know the tenant yet and denies nothing.
+func checkHeader(c *catalog.Configuration, h stmtunit.Header) denial {
 	if h.Tenant == "" || c == nil || c.Tenants == nil || c.Version < h.Version {
 		return denial{}
 	}
@@ -35,9 +33,6 @@
 	if owner == h.Tenant {
 		return denial{}
 	}
-	if _, declared := c.Tenants[h.Tenant]; begun && declared {
-		return denial{}
-	}
 	return tenantChanged
 }
 
@@ -47,8 +42,7 @@
 	if e.Configuration == nil {
 		return true
 	}
-	begun := r.unit.tx != nil && r.unit.tx.conn != nil
-	r.denial = checkHeader(e.Configuration.Current(), r.unit.header, begun)
+	r.denial = checkHeader(e.Configuration.Current(), r.unit.header)
 	return r.denial.code == query.OK
 }
 
--- a/internal/executor/tenant_test.go
+++ b/internal/executor/tenant_test.go
@@ -33,32 +33,28 @@
 		name   string
 		c      *catalog.Configuration
 		header stmtunit.Header
-		begun  bool
 		want   denial
 	}{
 		// Guard against units of valid tenants that are refused.
-		{"the same version allows it", c, header(5, "a", "k"), false, denial{}},
-		{"a newer version still allows it", c, header(4, "a", "k"), false, denial{}},
-		{"an older version does not know the key yet", c, header(6, "a", "new"), false, denial{}},
-		{"an older version has the key at another tenant", c, header(6, "b", "k"), false, denial{}},
-		{"the route is public", c, stmtunit.Header{Version: 5}, false, denial{}},
-		{"no configuration", nil, header(0, "a", "k"), false, denial{}},
-		{"tenants were removed altogether", &catalog.Configuration{Version: 6}, header(5, "a", "k"), false, denial{}},
-		{"the key of a transaction that has begun moved", c, header(4, "b", "k"), true, denial{}},
+		{"the same version allows it", c, header(5, "a", "k"), denial{}},
+		{"a newer version still allows it", c, header(4, "a", "k"), denial{}},
+		{"an older version does not know the key yet", c, header(6, "a", "new"), denial{}},
+		{"an older version has the key at another tenant", c, header(6, "b", "k"), denial{}},
+		{"the route is public", c, stmtunit.Header{Version: 5}, denial{}},
+		{"no configuration", nil, header(0, "a", "k"), denial{}},
+		{"tenants were removed altogether", &catalog.Configuration{Version: 6}, header(5, "a", "k"), denial{}},
 		// Guard against units of revoked keys, which a gateway sends that has no contact to
 		// any source of the configuration.
-		{"the key was revoked", c, header(4, "a", "old"), false, keyUnknown},
-		{"the key was revoked and the versions are equal", c, header(5, "a", "old"), false, keyUnknown},
-		{"the key was revoked in a transaction", c, header(4, "a", "old"), true, keyUnknown},
+		{"the key was revoked", c, header(4, "a", "old"), keyUnknown},
+		{"the key was revoked and the versions are equal", c, header(5, "a", "old"), keyUnknown},
 		// Guard against units that run under a tenant that no longer owns the key.
-		{"the key moved", c, header(4, "b", "k"), false, tenantChanged},
-		{"the tenant was renamed", c, header(4, "old", "k"), false, tenantChanged},
-		{"the tenant of a transaction was renamed", c, header(4, "old", "k"), true, tenantChanged},
+		{"the key moved", c, header(4, "b", "k"), tenantChanged},
+		{"the tenant was renamed", c, header(4, "old", "k"), tenantChanged},
 	}
 	Convey("A home refuses a unit only by a configuration that is not older than the gateway's", t, func() {
 		for _, tc := range cases {
 			Convey(tc.name, func() {
-				So(checkHeader(tc.c, tc.header, tc.begun), ShouldResemble, tc.want)
+				So(checkHeader(tc.c, tc.header), ShouldResemble, tc.want)
 			})
 		}
 	})
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -47,6 +47,7 @@
 	reasonUnknownKey    = "unknown_key"
 	reasonKeyRevoked    = "key_revoked"
 	reasonTenantRemoved = "tenant_removed"
+	reasonKeyMoved      = "key_moved"
 	reasonStale         = "configuration_stale"
 )
 
@@ -90,19 +91,23 @@
 }
 
 // transactionFault returns the reason why the open transaction may not go on, empty if it
-// may: its tenant or its key is no longer declared. A transaction whose key has moved to
-// another tenant goes on, and so does one that no home has begun.
+// may: its tenant or its key is no longer declared, or its key has moved to another tenant,
+// for which its connection can't be used. One that no home has begun goes on.
 func (s *Session) transactionFault() string {
 	c := s.configuration.Current()
 	if c == nil || c.Tenants == nil || s.tx == nil || s.tx.unit == nil || s.tx.access.tenant.Name == "" {
 		return ""
 	}
-	if _, ok := c.Authenticate(s.tx.access.key); !ok {
+	owner, ok := c.Authenticate(s.tx.access.key)
+	if !ok {
 		return reasonKeyRevoked
 	}
 	if _, ok := c.Tenants[s.tx.access.tenant.Name]; !ok {
 		return reasonTenantRemoved
 	}
+	if owner.Name != s.tx.access.tenant.Name {
+		return reasonKeyMoved
+	}
 	return ""
 }
 
--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -285,9 +285,9 @@
 		So(a.home.headers[0].Tenant+a.home.headers[1].Tenant, ShouldEqual, "ab")
 		So(a.home.headers[0].Version+10*a.home.headers[1].Version, ShouldEqual, 21)
 	})
-	// Guards against transactions that are aborted although key and tenant are valid, and
-	// against a unit that is opened for the tenant of an earlier version.
-	Convey("An open transaction goes on when its key moves, and one without a unit gets the new tenant", t, func() {
+	// Guards against statements that run for the tenant that has lost the key, and against a
+	// unit that is opened for the tenant of an earlier version.
+	Convey("An open transaction is rolled back when its key moves, and one without a unit gets the new tenant", t, func() {
 		a := newAccessTest(one)
 		first, _ := a.connect("db", "key")
 		first.query(t, query.Begin, "")
@@ -295,10 +295,17 @@
 		second, _ := a.connect("db", "key")
 		second.query(t, query.Begin, "")
 		a.apply(tenantConfiguration(2, map[string][]string{"b": {"key"}, "a": {"other"}}))
-		So(first.query(t, query.Write, "2").OK(), ShouldBeTrue)
-		So(first.query(t, query.Commit, "COMMIT").OK(), ShouldBeTrue)
+		So(first.query(t, query.Write, "2").Code, ShouldEqual, query.Aborted)
+		end := first.query(t, query.Commit, "COMMIT")
+		So(end.Code, ShouldEqual, query.Aborted)
+		So(end.State, ShouldEqual, query.Idle)
 		So(second.query(t, query.Write, "3").OK(), ShouldBeTrue)
-		So(a.home.headers[0].Tenant+a.home.headers[1].Tenant, ShouldEqual, "ab")
+		So(first.query(t, query.Write, "4").OK(), ShouldBeTrue)
+		var tenants string
+		for _, h := range a.home.headers {
+			tenants += h.Tenant
+		}
+		So(tenants, ShouldEqual, "abb")
 	})
 	// Guards against a first statement under a tenant of an older configuration.
 	Convey("When the deployment gives up tenants after a begin, the transaction runs without one", t, func() {
