Do not bring back commits that a promotion has rolled back

The primary of term 2 was lost before another target had joined its term. After 10 s any target could be promoted, and the old primary was, with the commits that the promotion to term 2 had rolled back.

Cause: nothing recorded where the log of the promoted target had ended; replicas followed the old primary again while the new one was lost; and the 10 s were counted from before the term.

Change: the record of the promotion lock has the end of the log with which a target was called. After 10 s only an outdated target whose log does not go beyond it is promoted, any other one after a minute. Outdated replicas are held meanwhile, and resumed when a target leads the term. The wait begins anew with each term.

TestRolledBackCommitsStayAway fails without the rule.

--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -131,6 +131,21 @@
 	return leadership.Leader{}, false
 }
 
+// FormerPrimary returns the ID of the target that was listed as primary when it left the list,
+// empty unless there is exactly one.
+func (g *Group) FormerPrimary() string {
+	var ids []string
+	for _, t := range *g.former.Load() {
+		if t.Info().Primary {
+			ids = append(ids, t.Info().ID)
+		}
+	}
+	if len(ids) != 1 {
+		return ""
+	}
+	return ids[0]
+}
+
 // Targets returns the listed targets. The slice must not be modified.
 func (g *Group) Targets() []*Target {
 	return *g.targets.Load()
--- a/internal/failover/era_test.go
+++ b/internal/failover/era_test.go
@@ -45,7 +45,7 @@
 		before, err := a.Acquire(ctx, "g", 2, 0)
 		So(err, ShouldBeNil)
 		c.advance(100 * time.Millisecond)
-		So(a.Verify(ctx, before, "g", "t"), ShouldBeNil)
+		So(a.Verify(ctx, before, "g", "t", position.Position{}), ShouldBeNil)
 		settled := Settlement{Terms: map[string]position.Term{"g": 1}}
 		settle := func(context.Context, []string) Settlement { return settled }
 		a.SetSettler(settle)
@@ -82,7 +82,7 @@
 		})
 		Convey("the holder does not act on its record of the earlier era", func() {
 			c.advance(lockFresh)
-			So(a.Verify(ctx, before, "g", "t"), ShouldNotBeNil)
+			So(a.Verify(ctx, before, "g", "t", position.Position{}), ShouldNotBeNil)
 			So(a.IsHolder(), ShouldBeFalse)
 			_, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(errors.Is(err, ErrOtherHolder), ShouldBeTrue)
@@ -113,11 +113,11 @@
 			a.mu.Lock()
 			a.object.Version = s.objects[lockKey].Version
 			a.mu.Unlock()
-			So(a.Verify(ctx, before, "g", "t"), ShouldNotBeNil)
+			So(a.Verify(ctx, before, "g", "t", position.Position{}), ShouldNotBeNil)
 			So(a.IsHolder(), ShouldBeFalse)
 			So(evaluate(b), ShouldEqual, primarylease.Unproven)
 			c.advance(lockFresh)
-			So(b.Verify(ctx, d, "g", "t"), ShouldNotBeNil)
+			So(b.Verify(ctx, d, "g", "t", position.Position{}), ShouldNotBeNil)
 			So(b.IsHolder(), ShouldBeFalse)
 		})
 		Convey("a store that returns while a write is under way gives no lock", func() {
--- a/internal/failover/intent.go
+++ b/internal/failover/intent.go
@@ -54,18 +54,23 @@
 	return r
 }
 
-// withCall returns the record before a promote call for a target of the group, which uses the
-// intent.
-func (r lockRecord) withCall(group, target string) lockRecord {
-	called := maps.Clone(r.Called)
-	if called == nil {
-		called = map[string]string{}
-	}
-	called[group] = target
-	r.Called = called
+// withCall returns the record before a promote call for a target of the group, whose log ends at
+// end. The call uses the intent.
+func (r lockRecord) withCall(group, target string, end position.Position) lockRecord {
+	r.Called, r.CalledEnd = withEntry(r.Called, group, target), withEntry(r.CalledEnd, group, end)
 	return r.withUnused(group, false)
 }
 
+// withEntry returns a copy of m with one more entry.
+func withEntry[V any](m map[string]V, key string, value V) map[string]V {
+	out := maps.Clone(m)
+	if out == nil {
+		out = map[string]V{}
+	}
+	out[key] = value
+	return out
+}
+
 // withIntent returns the record with an unused intent for one more promote call. term is the
 // one to which the call leads as far as the targets in reach tell.
 func (r lockRecord) withIntent(group string, term position.Term) lockRecord {
@@ -90,7 +95,7 @@
 
 // lastCall returns what the record tells of the promote calls for the group.
 func (r lockRecord) lastCall(group string) leadership.PromoteCall {
-	return leadership.PromoteCall{Term: r.reachedTerm(group), Target: r.Called[group]}
+	return leadership.PromoteCall{Term: r.reachedTerm(group), Target: r.Called[group], End: r.CalledEnd[group]}
 }
 
 // LastCall returns what is recorded of the promote calls for the group. A daemon that does not
--- a/internal/failover/intent_test.go
+++ b/internal/failover/intent_test.go
@@ -34,19 +34,19 @@
 		So(intendedTerm(b), ShouldEqual, position.Term(2))
 
 		Convey("the next holder intends the term after it if a call may have been made", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("the same holder does too if its call has not been answered", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			_, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("a verification whose answer is lost counts as one before a call", func() {
 			s.lostAnswers = 1
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
@@ -55,13 +55,13 @@
 			So(intendedTerm(b), ShouldEqual, position.Term(2))
 		})
 		Convey("the term is intended again if no call had an effect", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			So(a.MarkUnused(ctx, d, "g"), ShouldBeNil)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(2))
 		})
 		Convey("a withdrawn intent leaves that of the last call", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			d, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
 			So(a.Withdraw(ctx, d, "g"), ShouldBeNil)
@@ -69,17 +69,17 @@
 			So(a.Withdraw(ctx, d, "g"), ShouldNotBeNil)
 		})
 		Convey("an intent above the term that was reached covers the next call", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			d, err := a.Acquire(ctx, "g", 2, 0)
 			So(err, ShouldBeNil)
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			So(a.MarkPromoted(ctx, d, "g", 2), ShouldBeNil)
 			_, err = a.Acquire(ctx, "g", 3, 0)
 			So(err, ShouldBeNil)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
 		})
 		Convey("a promotion to the intended term costs no call to the store", func() {
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			puts := s.puts
 			So(a.MarkPromoted(ctx, d, "g", 2), ShouldBeNil)
 			So(s.puts, ShouldEqual, puts)
@@ -94,7 +94,7 @@
 		})
 		Convey("what a copy of the store tells of unused intents does not count in the next era", func() {
 			copied := s.copyOf()
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			s.restore(copied)
 			acquireUntilHeld(c, b, "g", 2)
 			So(intendedTerm(b), ShouldEqual, position.Term(3))
@@ -118,7 +118,7 @@
 		d, err := a.Acquire(ctx, "g", 2, 0)
 		So(err, ShouldBeNil)
 		So(reached(a), ShouldEqual, position.Term(1))
-		So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+		So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 		for _, m := range []*LockManager{a, b} {
 			So(reached(m), ShouldEqual, position.Term(2))
 			call, err := m.LastCall(ctx, "g")
--- a/internal/failover/members.go
+++ b/internal/failover/members.go
@@ -145,7 +145,7 @@
 	if a.needed >= abandonAfter {
 		return observed
 	}
-	out, primary := slices.Clone(observed), a.absentPrimary()
+	out, primary := slices.Clone(observed), a.presentPrimary()
 	for _, id := range a.PromotionLock.Members(a.group.Name) {
 		if id != primary && !slices.ContainsFunc(observed, func(o leadership.Observation) bool { return o.ID == id }) {
 			out = append(out, leadership.Observation{ID: id, Refused: true})
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -50,6 +50,8 @@
 
 	// requested maps each group to the highest promotionDemand made of the holder.
 	requested sync.Map
+	// waits maps each group to its successorWait, the last one without a successor.
+	waits sync.Map
 	// retired maps each group to the retiredPrimary that this daemon demoted last.
 	retired sync.Map
 }
@@ -110,9 +112,9 @@
 	// old is the primary to replace, nil if unknown.
 	old  *backend.Target
 	term position.Term
-	// minTerm is the term that a target must have joined to be promoted.
-	minTerm position.Term
-	lock    PromotionLock
+	// rule tells which targets may be promoted.
+	rule successorRule
+	lock PromotionLock
 	// needed is how long the promotion has been needed.
 	needed time.Duration
 }
@@ -127,7 +129,7 @@
 		return nil
 	}
 	term := max(g.JoinedTerm()+1, g.RequestedTerm())
-	minTerm, err := p.minTerm(ctx, g, since)
+	rule, err := p.successorRule(ctx, g, since)
 	if err != nil {
 		if !p.HoldsLock() {
 			err = errors.Join(err, p.requestPromotion(ctx, g, reason, term, since))
@@ -138,7 +140,7 @@
 	if err := checkNotJoined(g, term); err != nil {
 		return err
 	}
-	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, minTerm: minTerm, needed: since}
+	a := attempt{Promoter: p, group: g, old: knownPrimary(g), term: term, rule: rule, needed: since}
 	a.keepRetired()
 	if err := a.checkSuccessor(ctx); err != nil {
 		return err
@@ -406,14 +408,21 @@
 	return a.old.Info().ID
 }
 
-// absentPrimary returns the ID of the primary of the present term if it has left the list,
-// empty if it is listed or unknown.
-func (a *attempt) absentPrimary() string {
-	l, ok := a.group.LastLeader()
-	if !ok || l.Term != a.term-1 || a.group.FindTarget(l.ID) != nil {
+// presentPrimary returns the ID of the primary of the present term, listed or not; empty if it
+// is not known.
+func (a *attempt) presentPrimary() string {
+	if l, ok := a.group.LastLeader(); ok && l.Term == a.term-1 {
+		return l.ID
+	}
+	switch call := a.rule.call; {
+	case call.Target == "":
+		// Nothing has been promoted yet.
+		return a.group.FormerPrimary()
+	case call.Term == a.term-1:
+		return call.Target
+	default:
 		return ""
 	}
-	return l.ID
 }
 
 // markRefused changes the observation of a target: the platform has answered that no process
@@ -430,7 +439,7 @@
 // target is not running. It returns the ID of the promoted target. If it fails without a call
 // that may have had an effect, it records that.
 func (a *attempt) promoteBest(ctx context.Context, observed []leadership.Observation) (string, error) {
-	candidates := leadership.Candidates{Targets: observed, Except: map[string]bool{}, MinTerm: a.minTerm, SyncReplicas: a.group.Limits().SyncReplicas, Prefer: a.isNearer}
+	candidates := leadership.Candidates{Targets: observed, Except: a.rule.excluded(observed), SyncReplicas: a.group.Limits().SyncReplicas, Prefer: a.isNearer}
 	if id := a.oldID(); id != "" {
 		candidates.Except[id] = true
 	}
@@ -443,7 +452,7 @@
 			// It has the best log. If it does not return to the list, it is dropped soon.
 			return "", a.withoutEffect(ctx, fmt.Errorf("target %s, which is to be promoted, has left the list", target))
 		}
-		answer, err := a.callPromote(ctx, target)
+		answer, err := a.callPromote(ctx, target, logEnd(observed, target))
 		switch answer {
 		case PromoteRefused:
 			candidates.Except[target] = true
@@ -469,10 +478,17 @@
 	return errors.Join(cause, a.PromotionLock.MarkUnused(context.WithoutCancel(ctx), a.lock, a.group.Name))
 }
 
-// callPromote verifies the promotion lock and makes the promote call. It returns
+// logEnd returns the end of the log of an observed target.
+func logEnd(observed []leadership.Observation, id string) position.Position {
+	i := slices.IndexFunc(observed, func(o leadership.Observation) bool { return o.ID == id })
+	return observed[i].Status.Received
+}
+
+// callPromote verifies the promotion lock and makes the promote call for a target whose log
+// ends at end. It returns
 // PromoteBusy without a call if the lock is lost or the term has been joined meanwhile.
-func (a *attempt) callPromote(ctx context.Context, target string) (PromoteAnswer, error) {
-	if err := a.PromotionLock.Verify(ctx, a.lock, a.group.Name, target); err != nil {
+func (a *attempt) callPromote(ctx context.Context, target string, end position.Position) (PromoteAnswer, error) {
+	if err := a.PromotionLock.Verify(ctx, a.lock, a.group.Name, target, end); err != nil {
 		return PromoteBusy, err
 	}
 	if err := a.checkTerm(); err != nil {
@@ -526,7 +542,7 @@
 			term := observed[i].Status.Term
 			a.group.ObserveJoinedTerm(term)
 			a.group.TriggerCheck()
-			go a.resumeReplicas()
+			go a.resumeWhenLed(a.group, term)
 			return term, true
 		}
 		ctxtime.Sleep(ctx, pollInterval)
@@ -537,18 +553,32 @@
 // resumeAfter is how long a held replica may take to join the new term by itself.
 const resumeAfter = 300 * time.Millisecond
 
-// resumeReplicas resumes replication on the replicas that are still held after the
-// promotion.
-func (a *attempt) resumeReplicas() {
-	ctx, cancel := context.WithTimeout(context.Background(), effectTimeout)
+// resumeWhenLed resumes replication on the replicas of a group that are still held when a
+// target leads the given term or a later one. While none does, they stay held: they would
+// receive from a primary of an older term. Replicas that are held at a later term than the
+// leader's are left to the promotion that holds them.
+func (p *Promoter) resumeWhenLed(g *backend.Group, term position.Term) {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonAfter)
 	defer cancel()
-	ctxtime.Sleep(ctx, resumeAfter)
-	for _, t := range a.group.Targets() {
-		status, err := t.Control(ctx, query.Statement{Kind: query.Status})
-		if err != nil || status.Primary || status.Held == 0 {
+	for ctx.Err() == nil {
+		ctxtime.Sleep(ctx, resumeAfter)
+		observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
+		if l, ok := leadership.FindLeader(observed, term); ok {
+			p.resumeReplicas(ctx, g, l.Term, observed)
+			return
+		}
+	}
+}
+
+// resumeReplicas resumes replication on the observed replicas that are held at the given term
+// or an earlier one.
+func (p *Promoter) resumeReplicas(ctx context.Context, g *backend.Group, term position.Term, observed []leadership.Observation) {
+	for _, o := range observed {
+		t := g.FindTarget(o.ID)
+		if t == nil || !o.Reached || o.Status.Primary || o.Status.Held == 0 || o.Status.Held > term {
 			continue
 		}
-		_, err = t.Control(ctx, query.Statement{Kind: query.Resume})
-		a.Log.StateChange("replica_resumed", "group", a.group.Name, "target", t.Info().ID, "held", status.Held, "joined", status.Term, "ok", err == nil)
+		_, err := t.Control(ctx, query.Statement{Kind: query.Resume})
+		p.Log.StateChange("replica_resumed", "group", g.Name, "target", o.ID, "held", o.Status.Held, "joined", o.Status.Term, "ok", err == nil)
 	}
 }
--- a/internal/failover/promotion_lock.go
+++ b/internal/failover/promotion_lock.go
@@ -88,6 +88,9 @@
 	// Called maps each group to the target of the last promote call. A release that doesn't
 	// know the field drops it, and any target may have been called then.
 	Called map[string]string `json:"called,omitempty"`
+	// CalledEnd maps each group to the end of the log with which that target was called. A
+	// release that doesn't know the field drops it.
+	CalledEnd map[string]position.Position `json:"called_end,omitempty"`
 	// Members maps each group whose commits wait for replicas to its members, see members.go. A
 	// release that doesn't know the field drops it, and only listed targets count then.
 	Members map[string][]string `json:"members,omitempty"`
@@ -270,7 +273,7 @@
 func (m *LockManager) tenure() lockRecord {
 	next := m.record
 	if m.vacant() {
-		next.UnusedIntents, next.Called = nil, nil
+		next.UnusedIntents, next.Called, next.CalledEnd = nil, nil, nil
 	}
 	next.Holder, next.Process, next.Era = m.name, m.process, m.Era()
 	next.Token = max(next.Token+1, uint64(next.Era-store.UnannouncedEra)*tokensPerEra)
@@ -331,20 +334,20 @@
 	}()
 }
 
-// Verify returns nil if this daemon may make a promote call for a target of the group: it
-// still holds the promotion lock d, as proven by a write that is at most lockFresh old. It writes the
+// Verify returns nil if this daemon may make a promote call for a target of the group, whose log
+// ends at end: it still holds the promotion lock d, as proven by a write that is at most lockFresh old. It writes the
 // record if the last write is older than half of that, or does not tell of the call.
 // It returns ErrOtherHolder if the lock has another holder or token.
-func (m *LockManager) Verify(ctx context.Context, d PromotionLock, group, target string) error {
+func (m *LockManager) Verify(ctx context.Context, d PromotionLock, group, target string, end position.Position) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.now()-m.writtenAt > lockFresh/2 || m.record.isUnused(group) || m.record.Called[group] != target {
+	if m.now()-m.writtenAt > lockFresh/2 || m.record.isUnused(group) || m.record.Called[group] != target || m.record.CalledEnd[group] != end {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		if !m.holdsLock() {
 			return fmt.Errorf("%w: %s", ErrOtherHolder, m.record.Holder)
 		}
-		if err := m.write(ctx, m.record.withCall(group, target)); err != nil {
+		if err := m.write(ctx, m.record.withCall(group, target, end)); err != nil {
 			return err
 		}
 	}
--- a/internal/failover/promotion_lock_test.go
+++ b/internal/failover/promotion_lock_test.go
@@ -165,7 +165,7 @@
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldBeNil)
 			So(d, ShouldResemble, PromotionLock{Holder: "a", Token: firstToken})
-			So(a.Verify(ctx, d, "g", "t"), ShouldBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldBeNil)
 			r, err := b.ReadIntents(ctx)
 			So(err, ShouldBeNil)
 			So(r.Intents["g"], ShouldEqual, position.Term(2))
@@ -174,7 +174,7 @@
 			d, waited := acquireUntilHeld(c, b, "g", 2)
 			So(d, ShouldResemble, PromotionLock{Holder: "b", Token: firstToken + 1})
 			So(waited+primarylease.TTL, ShouldBeGreaterThan, minHolderGap+lockFresh)
-			So(errors.Is(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}, "g", "t"), ErrOtherHolder) || !a.IsHolder(), ShouldBeTrue)
+			So(errors.Is(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}, "g", "t", position.Position{}), ErrOtherHolder) || !a.IsHolder(), ShouldBeTrue)
 		})
 		Convey("a holder that is known to have been inactive for long is replaced after the grace", func() {
 			b.ObservePoint(s.objects[lockKey].Point())
@@ -251,7 +251,7 @@
 			c.advance(10 * time.Second)
 			taken, _ := acquireUntilHeld(c, b, "g", 2)
 			So(taken.Token, ShouldEqual, firstToken+1)
-			So(a.Verify(ctx, d, "g", "t"), ShouldNotBeNil)
+			So(a.Verify(ctx, d, "g", "t", position.Position{}), ShouldNotBeNil)
 			So(a.IsHolder(), ShouldBeFalse)
 		})
 		Convey("a write with a lost answer is resolved by reading back", func() {
@@ -272,7 +272,7 @@
 			_, err := a.Acquire(ctx, "g", 2, time.Minute)
 			So(err, ShouldNotBeNil)
 			c.advance(time.Minute)
-			So(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}, "g", "t"), ShouldNotBeNil)
+			So(a.Verify(ctx, PromotionLock{Holder: "a", Token: firstToken}, "g", "t", position.Position{}), ShouldNotBeNil)
 		})
 		Convey("only the holder can withdraw an intent", func() {
 			d, err := a.Acquire(ctx, "g", 2, time.Minute)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -81,6 +81,9 @@
 	Term position.Term
 	// Target is the target of the last call, empty if it is not known.
 	Target string
+	// End is the end of the log with which Target was called, zero if it is not known. The
+	// promotion rolled back what other targets had after it.
+	End position.Position
 }
 
 // PresentTerm returns the newest term that may have a primary after the given call. A called
@@ -95,6 +98,12 @@
 	return c.Term
 }
 
+// KeepsRolledBack reports whether the log of a target that has not joined the term of the call
+// may end in commits that the promotion to that term has rolled back.
+func (c PromoteCall) KeepsRolledBack(t Observation) bool {
+	return c.End.IsZero() || t.Status.Received.Compare(c.End) > 0
+}
+
 // Reason is the reason for a promotion.
 type Reason string
 
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -360,6 +360,63 @@
 	})
 }
 
+// Guards against reads that turn out to have missed commits: while the primary of term 2 was
+// lost, the old primary returned, a replica that had not joined term 2 received from it what the
+// promotion to term 2 had rolled back, and was promoted with it.
+func TestRolledBackCommitsStayAway(t *testing.T) {
+	Convey("Commits that a promotion has rolled back do not return with an outdated target", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		c := tc.connect(tc.nodes[1], dbCurrent)
+		So(c.Query("WRITE first kept").OK(), ShouldBeTrue)
+		time.Sleep(50 * time.Millisecond) // replication
+		tc.group.SetPartitioned(2, true)
+		So(c.Query("WRITE first.1 x").OK(), ShouldBeTrue) // makes target 1 the next primary
+		time.Sleep(50 * time.Millisecond)
+		tc.group.SetLag(1, time.Hour)
+		So(c.Query("WRITE second lost").OK(), ShouldBeTrue)
+		tc.group.Crash(0)
+		writeInNewTerm(tc, c, "third", 1)
+		So(c.Query("READ second").Rows, ShouldResemble, []string{"none"})
+		tc.group.Crash(1)
+		lost := time.Now()
+		So(c.Query("WRITE away x").OK(), ShouldBeFalse)
+		tc.store.Remove("servers", tc.group.Targets[1].ID)
+		tc.awaitHeld(2)
+		So(tc.group.Restart(0), ShouldBeNil)
+		tc.group.SetPartitioned(2, false)
+		tc.eventually(14*time.Second, "a target serves", func() bool { return c.Query("WRITE fourth x").OK() })
+		So(time.Since(lost), ShouldBeGreaterThan, outdatedTargetWait)
+		primary, _ := tc.group.Primary()
+		So(primary, ShouldEqual, 2)
+		So(c.Query("READ first").Rows, ShouldResemble, []string{"kept"})
+		So(tc.group.Committed("second"), ShouldBeEmpty)
+	})
+	Convey("A replica that was held meanwhile follows the primary when that is back", t, func() {
+		tc := newTestCluster(t, "north", "south", "west")
+		c := tc.connect(tc.nodes[1], dbCurrent)
+		So(c.Query("WRITE first kept").OK(), ShouldBeTrue)
+		time.Sleep(50 * time.Millisecond) // replication
+		tc.group.SetPartitioned(2, true)
+		So(c.Query("WRITE first.1 x").OK(), ShouldBeTrue) // makes target 1 the next primary
+		time.Sleep(50 * time.Millisecond)
+		tc.group.Crash(0)
+		writeInNewTerm(tc, c, "second", 1)
+		tc.group.Crash(1)
+		So(c.Query("WRITE away x").OK(), ShouldBeFalse)
+		tc.awaitHeld(2)
+		So(tc.group.Restart(1), ShouldBeNil)
+		tc.group.SetPartitioned(2, false)
+		tc.eventually(3*time.Second, "the replica follows the primary", func() bool { joined, _ := tc.group.Held(2); return joined == 2 })
+		So(c.Query("READ second").OK(), ShouldBeTrue)
+	})
+}
+
+// awaitHeld waits until a target is held.
+func (tc *testCluster) awaitHeld(target int) {
+	tc.t.Helper()
+	tc.eventually(3*time.Second, "the target is held", func() bool { _, held := tc.group.Held(target); return held > 0 })
+}
+
 // outdatedTargetWait is how long at least a target that has not joined the present term is not
 // promoted.
 const outdatedTargetWait = 10 * time.Second
--- a/internal/standin/site/group.go
+++ b/internal/standin/site/group.go
@@ -306,6 +306,13 @@
 	return slices.Index(g.Targets, p), p.term
 }
 
+// Held returns the term that target i has joined and the one at which it is held, 0 for none.
+func (g *Group) Held(i int) (joined, held uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Targets[i].term, g.Targets[i].heldTerm
+}
+
 // PeakConnections returns the highest number of connections that one target had at once.
 func (g *Group) PeakConnections() int {
 	g.mu.Lock()
