Count the terms that a daemon has seen when it settles earlier eras

SettleGroups took the highest term of the listed targets. The primary of a later term that the daemon itself has seen may have left the list since.

Candidates.MinTerm has no user any more since successorRule decides, and goes; its case in TestSelect now excepts the target, which is what the rule does.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -485,8 +485,8 @@
 }
 
 // callPromote verifies the promotion lock and makes the promote call for a target whose log
-// ends at end. It returns
-// PromoteBusy without a call if the lock is lost or the term has been joined meanwhile.
+// ends at end. It returns PromoteBusy without a call if the lock is lost, the store has no
+// intent for the term, or the term has been joined meanwhile.
 func (a *attempt) callPromote(ctx context.Context, target string, end position.Position) (PromoteAnswer, error) {
 	if err := a.PromotionLock.Verify(ctx, a.lock, a.group.Name, target, end); err != nil {
 		return PromoteBusy, err
--- a/internal/failover/settlement.go
+++ b/internal/failover/settlement.go
@@ -13,8 +13,8 @@
 // Settlement is what the targets tell of promotions whose intents the store may have lost
 // with an earlier era. No holder of an earlier era acts any more when they are asked.
 type Settlement struct {
-	// Terms maps each group of which every target answered to the highest term that one has
-	// joined or is held at.
+	// Terms maps each group of which every target answered to the highest term that one is
+	// held at or is known to have joined.
 	Terms map[string]position.Term
 	// OnlyHeld names the groups of Terms of which no target has joined that term: nothing was
 	// promoted to it.
@@ -79,8 +79,10 @@
 	for _, g := range groups {
 		go func() {
 			observed := g.Observe(ctx, query.Statement{Kind: query.Status}, nil, nil)
-			joined, highest := leadership.JoinedTerm(observed), leadership.HighestTerm(observed)
-			g.ObserveJoinedTerm(joined)
+			g.ObserveJoinedTerm(leadership.JoinedTerm(observed))
+			// The primary of a term that this daemon has seen may have left the list.
+			joined := g.JoinedTerm()
+			highest := max(joined, leadership.HighestTerm(observed))
 			silent := slices.ContainsFunc(observed, func(o leadership.Observation) bool { return !o.Reached })
 			results <- result{group: g.Name, term: highest, onlyHeld: highest > joined, settled: !silent && g.ListComplete()}
 		}()
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -185,16 +185,14 @@
 	Targets []Observation
 	// Except names targets that must not be promoted.
 	Except map[string]bool
-	// MinTerm is the term that a target must have joined to be promoted.
-	MinTerm position.Term
 	// SyncReplicas is the number of replicas that receive a commit before it is acknowledged.
 	SyncReplicas int
 	// Prefer reports whether x is preferred to y, which has the same log; nil if neither is.
 	Prefer func(x, y string) bool
 }
 
-// Select returns the ID of the target to promote: among those that were reached, have joined
-// MinTerm and are not excepted, the one that has joined the latest term, and among these the
+// Select returns the ID of the target to promote: among those that were reached and are not
+// excepted, the one that has joined the latest term, and among these the
 // one with the longest log. The log of a target that has not joined a term may end in commits
 // that the promotion to that term has rolled back.
 //
@@ -204,7 +202,7 @@
 func (c Candidates) Select() (string, bool) {
 	best := -1
 	for i, t := range c.Targets {
-		if !t.Reached || c.Except[t.ID] || t.Status.Term < c.MinTerm || t.Draining && c.SyncReplicas == 0 {
+		if !t.Reached || c.Except[t.ID] || t.Draining && c.SyncReplicas == 0 {
 			continue
 		}
 		if best < 0 || c.better(t, c.Targets[best]) {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -87,15 +87,16 @@
 		_, ok = candidates(targets[:1], 0).Select()
 		So(ok, ShouldBeFalse)
 	})
-	Convey("A target that has joined a later term is preferred to one with a longer log, and one below MinTerm is passed over", t, func() {
+	Convey("A target that has joined a later term is preferred to one with a longer log, and an excepted one is passed over", t, func() {
 		joined := reached("e", false, 2, 0)
 		joined.Status.Received = position.Position{Term: 1, Index: 3}
 		withJoined := append([]Observation{joined}, targets...)
 		id, _ := candidates(withJoined, 0).Select()
 		So(id, ShouldEqual, "e")
-		c := candidates(withJoined, 0, "e")
-		c.MinTerm = 2
-		_, ok := c.Select()
+		id, ok := candidates(withJoined, 0, "e").Select()
+		So(ok, ShouldBeTrue)
+		So(id, ShouldNotEqual, "e")
+		_, ok = candidates([]Observation{joined}, 0, "e").Select()
 		So(ok, ShouldBeFalse)
 	})
 	Convey("With synchronous replicas, a draining target is selected if only it has the longest log", t, func() {
