Bound the memory of statements that have arrived in part

A message that there is no room for is read to its end, not kept, and answered BUSY; the session and its transaction go on. The budget of the session state is the same type now, in internal/membudget.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/membudget"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 	"github.com/laburnumrack/laburnumrack/internal/requestmetrics"
 )
@@ -26,7 +27,8 @@
 type Conn interface {
 	// ReadStart reads the first message. The key may be empty.
 	ReadStart() (database, key string, err error)
-	// ReadStatement reads the next statement.
+	// ReadStatement reads the next statement. The error wraps a *DroppedError for one that was
+	// read to its end but not kept.
 	ReadStatement() (query.Statement, error)
 	// Buffered reports whether bytes of the next message have arrived, or the caller has closed
 	// the connection.
@@ -45,6 +47,18 @@
 	Close() error
 }
 
+// DroppedError is returned for a statement that was too large for the memory that is left for
+// messages. The session can go on.
+type DroppedError struct {
+	// ID is the id that the caller gave the request.
+	ID string
+}
+
+// Error implements error.
+func (e *DroppedError) Error() string {
+	return "no memory is left for statement " + e.ID
+}
+
 // Timeouts of a session.
 const (
 	// startTimeout limits the wait for the first message.
@@ -80,7 +94,7 @@
 	// Tenants counts the operations and refusals of tenants; it may be nil.
 	Tenants *requestmetrics.Tenants
 	// State limits the memory for the state of all sessions; nil means no limit.
-	State *StateBudget
+	State *membudget.Budget
 	// Wrap returns the Conn for an accepted connection.
 	Wrap func(net.Conn) Conn
 
@@ -243,14 +257,20 @@
 func (s *Server) run(ses *sessionConn) error {
 	for {
 		st, err := s.readStatement(ses)
-		if err != nil {
+		var dropped *DroppedError
+		if err != nil && !errors.As(err, &dropped) {
 			return err
 		}
 		told := ses.state.toldOfRollback()
 		if s.endingTransactions.Load() && !st.Kind.EndsTransaction() {
 			ses.state.ExpireTransaction("shutting_down")
 		}
-		a := ses.state.Run(st, boottime.Now())
+		var a query.Answer
+		if dropped != nil {
+			a = ses.state.RefuseDropped(dropped)
+		} else {
+			a = ses.state.Run(st, boottime.Now())
+		}
 		if err := ses.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -7,6 +7,7 @@
 	"github.com/laburnumrack/laburnumrack/internal/boottime"
 	"github.com/laburnumrack/laburnumrack/internal/catalog"
 	"github.com/laburnumrack/laburnumrack/internal/eventlog"
+	"github.com/laburnumrack/laburnumrack/internal/membudget"
 	"github.com/laburnumrack/laburnumrack/internal/position"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 	"github.com/laburnumrack/laburnumrack/internal/requestmetrics"
@@ -51,7 +52,7 @@
 	environment query.Environment
 	// stateBytes is the size of environment that is taken from budget.
 	stateBytes int64
-	budget     *StateBudget
+	budget     *membudget.Budget
 	// lastCommit is the end of the log after the session's last commit, and lastCommitAt
 	// is when that was received, as time since boot.
 	lastCommit   position.Position
@@ -410,6 +411,14 @@
 	return s.refuseWithMessage(st, code, reason, "not run: "+reason)
 }
 
+// reasonMessagesFull is the reason of a refusal when no memory is left for messages.
+const reasonMessagesFull = "messages_full"
+
+// RefuseDropped refuses a statement that was not kept. An open transaction goes on.
+func (s *Session) RefuseDropped(e *DroppedError) query.Answer {
+	return s.refuse(query.Statement{ID: e.ID}, query.Busy, reasonMessagesFull)
+}
+
 // refuseWithMessage counts and logs a refusal and returns the answer with a message.
 func (s *Session) refuseWithMessage(st query.Statement, code query.Code, reason, message string) query.Answer {
 	requestmetrics.Refused(reason)
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -253,9 +253,17 @@
 		first.releaseState()
 		So(run(second, query.Set, "b", text), ShouldEqual, query.OK)
 		second.releaseState()
-		So(budget.used.Load(), ShouldEqual, int64(0))
+		So(budget.Used(), ShouldEqual, int64(0))
+	})
+	Convey("A statement that was not kept is refused, and the transaction goes on", t, func() {
+		s := newTestSession(&fakeHome{})
+		a := s.RefuseDropped(&DroppedError{ID: "7"})
+		So(a.Code, ShouldEqual, query.Busy)
+		So(a.State, ShouldEqual, query.Idle)
+		So(run(s, query.Begin, "", ""), ShouldEqual, query.OK)
+		So(s.RefuseDropped(&DroppedError{ID: "8"}).State, ShouldEqual, query.Open)
 	})
 	Convey("A VM without a limit on its memory has no such budget", t, func() {
-		So(NewStateBudget(0).add(1<<40), ShouldBeTrue)
+		So(NewStateBudget(0).Add(1<<40), ShouldBeTrue)
 	})
 }
--- a/internal/frontend/statelimit.go
+++ b/internal/frontend/statelimit.go
@@ -1,8 +1,7 @@
 package frontend
 
 import (
-	"sync/atomic"
-
+	"github.com/laburnumrack/laburnumrack/internal/membudget"
 	"github.com/laburnumrack/laburnumrack/internal/query"
 )
 
@@ -18,35 +17,13 @@
 	entryOverhead = 64
 )
 
-// reasonStateFull is the reason of a refusal when StateBudget is used up.
+// reasonStateFull is the reason of a refusal when the budget of the state is used up.
 const reasonStateFull = "session_state_full"
 
-// StateBudget limits the bytes of the state of all sessions of a daemon. A nil budget has no
-// limit. It is safe for concurrent use.
-type StateBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewStateBudget returns the budget of a VM with the given memory in bytes, nil if that is not
-// known.
-func NewStateBudget(memory int64) *StateBudget {
-	if memory <= 0 {
-		return nil
-	}
-	return &StateBudget{limit: int64(stateMemoryShare * float64(memory))}
-}
-
-// add adds a number of bytes, which may be negative, and reports whether the budget allows it.
-func (b *StateBudget) add(bytes int64) bool {
-	if b == nil {
-		return true
-	}
-	if b.used.Add(bytes) > b.limit && bytes > 0 {
-		b.used.Add(-bytes)
-		return false
-	}
-	return true
+// NewStateBudget returns the budget for the state of all sessions of a VM with the given memory
+// in bytes, nil if that is not known.
+func NewStateBudget(memory int64) *membudget.Budget {
+	return membudget.New(memory, stateMemoryShare)
 }
 
 // resizeState accounts for a change of the size of the session's state. If that is too large,
@@ -55,7 +32,7 @@
 	if bytes > 0 && s.stateBytes+bytes > maxSessionState {
 		return query.Failure(query.Bad, s.state(), "the session state is too large"), false
 	}
-	if !s.budget.add(bytes) {
+	if !s.budget.Add(bytes) {
 		return s.refuse(st, query.Busy, reasonStateFull), false
 	}
 	s.stateBytes += bytes
@@ -64,7 +41,7 @@
 
 // releaseState returns the bytes of the session's state to the budget when the session ends.
 func (s *Session) releaseState() {
-	s.budget.add(-s.stateBytes)
+	s.budget.Add(-s.stateBytes)
 	s.stateBytes = 0
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,11 +158,12 @@
 		Self: settings.Name, Domain: settings.FailureDomain, Regions: settings.Regions, Slack: settings.QuotaSlack, Network: n.members, Now: boottime.Now, Log: n.log,
 	})
 	n.peerServer = &peer.Server{Name: settings.Name, Opener: local, Objects: n.mirrors, Intents: relayIntents{relays: n.members, followed: lease, direct: relayReader.direct}, StoreIntents: relayReader.direct, Positions: n.registry, Quotas: n.limiter, OnPeerConnected: n.members.PeerConnected, Log: n.log, LinkMbps: settings.Capacity.Link}
+	messageBudget := platform.NewMessageBudget(settings.Memory)
 	n.frontend = &frontend.Server{
 		Homes: n.members, Configuration: &n.configuration, Log: n.log, State: frontend.NewStateBudget(settings.Memory),
 		Quota: n.limiter, Tenants: requestmetrics.NewTenants(metrics.GetDefaultSet()),
 		SessionBase: xxhash.Sum64String(settings.Name) << sessionBits,
-		Wrap:        func(c net.Conn) frontend.Conn { return platform.NewCallerConn(c) },
+		Wrap:        func(c net.Conn) frontend.Conn { return platform.NewCallerConn(c, messageBudget) },
 	}
 	if settings.StrictRevocation {
 		n.frontend.Confirmation = n.confirmation
