Promote nothing before the configuration is known

A daemon that holds the promotion lock before its first configuration takes every group for one without synchronous replicas: it would have deleted the recorded members, and promoted without counting missing replicas. Found by reading; no run shows it. TestTrackMembers guards both.

--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -182,6 +182,11 @@
 	return *g.limits.Load()
 }
 
+// Declared reports whether the configuration has the group.
+func (g *Group) Declared() bool {
+	return g.declared.Load()
+}
+
 // KnownTerm returns the highest term that a target was seen to have joined or to be held
 // at.
 func (g *Group) KnownTerm() position.Term {
--- a/internal/backend/monitor.go
+++ b/internal/backend/monitor.go
@@ -74,7 +74,7 @@
 	case g.inUse():
 		return m.leaderDoubtful()
 	default:
-		return g.declared.Load() && g.Promoter.HoldsLock() && g.noListedPrimary()
+		return g.Declared() && g.Promoter.HoldsLock() && g.noListedPrimary()
 	}
 }
 
--- a/internal/failover/members.go
+++ b/internal/failover/members.go
@@ -76,7 +76,8 @@
 	var wg sync.WaitGroup
 	for _, g := range groups {
 		recorded := p.PromotionLock.Members(g.Name)
-		if g.Limits().SyncReplicas == 0 && len(recorded) == 0 {
+		if !g.Declared() || g.Limits().SyncReplicas == 0 && len(recorded) == 0 {
+			// Before its first configuration a daemon knows nothing of synchronous replicas.
 			continue
 		}
 		// The targets of a group may have to be asked, which takes up to a second.
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -128,6 +128,9 @@
 		// The request was met before this daemon knew of it.
 		return nil
 	}
+	if !g.Declared() {
+		return fmt.Errorf("the configuration does not have group %s, so its synchronous replicas are not known", g.Name)
+	}
 	term := max(g.JoinedTerm()+1, g.RequestedTerm())
 	rule, err := p.successorRule(ctx, g, since)
 	if err != nil {
