Take the age of a session before those of the candidates for its read

The home took the ages of the candidates first and that of the session after them; a pause of the process in between made the session look older, and data from before it was accepted.

--- a/internal/home/route.go
+++ b/internal/home/route.go
@@ -108,8 +108,10 @@
 	var buffer [inlineCandidates]routing.Candidate
 	for waits := 0; ; waits++ {
 		s, m := u.database.state.Load(), u.database.members.Load()
-		candidates := u.appendCandidates(buffer[:0], s, m, exclude)
+		// The age of the session is taken before those of the candidates: a pause between the
+		// two must not make data look young enough that was confirmed before the session began.
 		read := u.routingRead(m.byName[s.primary.Name])
+		candidates := u.appendCandidates(buffer[:0], s, m, exclude)
 		d := routing.Choose(&read, candidates)
 		if d.Index < 0 {
 			u.database.raiseAlarm()
