--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"large-answer":     largeAnswer,
 	"half-transaction": halfTransaction,
+	"shutdown":         pipelinedShutdown,
 }
 
 func main() {
