--- a/review/rig4/half.go
+++ b/review/rig4/half.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"strings"
 	"sync"
@@ -22,8 +21,8 @@
 // promises are the answers by which nothing of the caller's attempt is kept.
 var promises = map[string]bool{"BUSY": true, "ABORTED": true, "BEHIND": true, "READONLY": true, "WRONGNODE": true, "TOOMANY": true}
 
-// halfTransaction plays callers that write a small and a large item in one transaction. They
-// send its four statements without waiting for the answers in between.
+// halfTransaction plays callers that write a small and a large item in one transaction. Every
+// other one sends its four statements without waiting for the answers in between.
 func halfTransaction(w *world, trouble bool) (bool, error) {
 	w.group.StatementTime = 8 * time.Millisecond
 	d, err := w.start("front-osijek-1", "osijek")
@@ -45,7 +44,7 @@
 		group.Go(func() {
 			for n := range callerTransactions {
 				small, large := fmt.Sprintf("small%d-%d", i, n), fmt.Sprintf("large%d-%d", i, n)
-				answers, err := w.sendTransaction(d, small, large)
+				answers, err := w.sendTransaction(d, i%2 == 0, small, large)
 				if err != nil {
 					closed.Add(1)
 					w.note("transaction %d-%d: %v", i, n, err)
@@ -77,17 +76,27 @@
 }
 
 // sendTransaction runs one transaction and returns the ends of the answers to its four
-// statements.
-func (w *world) sendTransaction(d *daemon, small, large string) ([]string, error) {
+// statements. With pipelined it sends all of them before it reads the answers.
+func (w *world) sendTransaction(d *daemon, pipelined bool, small, large string) ([]string, error) {
 	c, err := dialCaller(d.callers(), "fan-orders")
 	if err != nil {
 		return nil, err
 	}
 	defer c.close()
+	// next lets the sender go on, when an answer has come or at once.
+	next := make(chan struct{}, 4)
 	sent := make(chan error, 1)
-	go func() { sent <- c.sendParts(small, large) }()
+	go func() { sent <- c.sendStatements(next, small, large) }()
 	var answers []string
 	for len(answers) < 4 {
+		if len(answers) == 0 || !pipelined {
+			next <- struct{}{}
+		}
+		if pipelined && len(answers) == 0 {
+			for range 3 {
+				next <- struct{}{}
+			}
+		}
 		result, err := c.answer()
 		if err != nil {
 			return answers, fmt.Errorf("connection ended after the answers %q: %w", answers, err)
@@ -97,18 +106,23 @@
 	return answers, <-sent
 }
 
-// sendParts sends the four statements, the large one in parts.
-func (c *caller) sendParts(small, large string) error {
-	out := bufio.NewWriter(c.conn)
-	_, _ = fmt.Fprintf(out, "QUERY %s-1 BEGIN\r\nQUERY %s-2 WRITE %s x\r\nQUERY %s-3 WRITE %s ", small, small, small, small, large)
-	if err := out.Flush(); err != nil {
-		return err
-	}
-	if err := c.sendLarge(); err != nil {
-		return err
+// sendStatements sends the four statements, the large one in parts, each when next allows it.
+func (c *caller) sendStatements(next chan struct{}, small, large string) error {
+	for n, text := range []string{"BEGIN", "WRITE " + small + " x", "WRITE " + large + " ", "COMMIT"} {
+		<-next
+		if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s", small, n+1, text); err != nil {
+			return err
+		}
+		if n == 2 {
+			if err := c.sendLarge(); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprint(c.conn, "\r\n"); err != nil {
+			return err
+		}
 	}
-	_, err := fmt.Fprintf(c.conn, "\r\nQUERY %s-4 COMMIT\r\n", small)
-	return err
+	return nil
 }
 
 // largeWriter plays a session that writes large items until stop is closed.
