--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -23,7 +23,7 @@
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"large-answer":     largeAnswer,
 	"half-transaction": halfTransaction,
-	"shutdown":         pipelinedShutdown,
+	"moved-route":      movedRoute,
 }
 
 func main() {
@@ -47,7 +47,7 @@
 		return couldNot
 	}
 	defer func() { _ = record.Close() }()
-	w, err := newWorld(record, configuration())
+	w, err := newWorld(record, configuration(7, firstGroup))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
@@ -77,15 +77,16 @@
 	}
 }
 
-// configuration returns the routes of the sheet of silozrak.
-func configuration() site.Configuration {
+// configuration returns a version of the routes of the sheet of silozrak. fan-orders leads to the
+// given group, the others to the first one.
+func configuration(version int, fanOrders string) site.Configuration {
 	return site.Configuration{
-		Version: 7,
+		Version: version,
 		Routes: []site.Route{
-			{Database: "fan-orders", Type: "primary", Group: "zrnobaza", Timeout: time.Second, Objective: time.Second},
-			{Database: "probe-reads", Type: "bounded_staleness", Group: "zrnobaza", Timeout: 2 * time.Second, Objective: 1500 * time.Millisecond},
-			{Database: "shift-logs", Type: "read_your_writes", Group: "zrnobaza", Timeout: time.Second, Objective: 2 * time.Second},
+			{Database: "fan-orders", Type: "primary", Group: fanOrders, Timeout: time.Second, Objective: time.Second},
+			{Database: "probe-reads", Type: "bounded_staleness", Group: firstGroup, Timeout: 2 * time.Second, Objective: 1500 * time.Millisecond},
+			{Database: "shift-logs", Type: "read_your_writes", Group: firstGroup, Timeout: time.Second, Objective: 2 * time.Second},
 		},
-		Connections: map[string]int{"zrnobaza": maxConnections},
+		Connections: map[string]int{firstGroup: maxConnections, secondGroup: maxConnections},
 	}
 }
