--- a/review/rig4/world.go
+++ b/review/rig4/world.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command rig4 plays the scripted cases 12, 13 and 15 of the review: it starts daemons as separate processes
-// next to stand-ins of the platform and of the databases, and checks one rule.
+// Command rig4 plays the scripted cases 12, 13 and 15 of the review: it starts daemons as separate
+// processes next to stand-ins of the platform and of the databases, and checks one rule.
 package main
 
 import (
